Lay the workspace, its checks and the shared types

The project was empty. This lays four packages (decision logic, daemon, command line, stand-ins), the formatter, linters and type checker in their OpenStack settings, a runner for the behave roots, and the types that the packages share: addresses, failures, published state, the messages between a node and control, numbered events, metrics.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+PIP := $(BIN)/python -m pip --quiet --disable-pip-version-check
+STAMP := $(VENV)/.installed
+SOURCES := $(wildcard packages/*/src)
+PACKAGES := $(dir $(wildcard packages/*/pyproject.toml))
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(abspath $(SOURCES)))
+export PYTHONHASHSEED := 0
+
+.PHONY: setup demo test check format clean
+
+setup: $(STAMP)
+
+$(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(PIP) install --requirement constraints.txt
+	$(PIP) install --no-deps --no-build-isolation \
+	    $(addprefix --editable ,$(PACKAGES))
+	touch $@
+
+demo: setup
+	$(BIN)/python tools/demo.py
+
+test: setup
+	$(BIN)/python tools/scenarios.py
+
+check: setup
+	$(BIN)/ruff format --check packages tests tools
+	$(BIN)/ruff check packages tests tools
+	$(BIN)/flake8 packages tests tools
+	$(BIN)/mypy packages/*/src tools
+
+format: setup
+	$(BIN)/ruff format packages tests tools
+	$(BIN)/ruff check --fix packages tests tools
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/packages/pistachiohook-cli/src/pistachiohook_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic of pistachiohook, apart from sockets and clocks."""
--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/addresses.py
@@ -0,0 +1,81 @@
+"""Addresses of sockets."""
+
+from __future__ import annotations
+
+import ipaddress
+import struct
+
+import attrs
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from .failures import Failure
+
+#: Length of a packed address, in bytes: four for the host, two for the port.
+PACKED_LENGTH = 6
+
+#: Largest port number.
+PORT_MAX = 65535
+
+_PACKED = struct.Struct('!4sH')
+
+
+@attrs.frozen(order=True)
+class Address:
+    """An IPv4 address and a port.
+
+    :param host: dotted IP number; names are not resolved
+    :param port: port number
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f'{self.host}:{self.port}'
+
+
+def parse_address(text: str) -> Result[Address, Failure]:
+    """Read ``host:port``.
+
+    :param text: what stands in a settings file or on a command line
+    :returns: the address, or a failure that names the text
+    """
+    host, colon, port = text.rpartition(':')
+    if not colon or not _is_ip_number(host) or not _is_port(port):
+        return Failed(
+            Failure(
+                step='read address',
+                peer=text,
+                reason='expected an IPv4 number and a port, as 127.0.0.1:443',
+            )
+        )
+    return Success(Address(host, int(port)))
+
+
+def pack_address(address: Address) -> bytes:
+    """Encode an address in :data:`PACKED_LENGTH` bytes."""
+    host = ipaddress.IPv4Address(address.host).packed
+    return _PACKED.pack(host, address.port)
+
+
+def unpack_address(packed: bytes) -> Address:
+    """Decode what :func:`pack_address` made.
+
+    :raises struct.error: when the length is not :data:`PACKED_LENGTH`
+    """
+    host, port = _PACKED.unpack(packed)
+    return Address(str(ipaddress.IPv4Address(host)), port)
+
+
+def _is_ip_number(host: str) -> bool:
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_port(port: str) -> bool:
+    return port.isascii() and port.isdigit() and 0 <= int(port[:6]) <= PORT_MAX
--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/codec.py
@@ -0,0 +1,57 @@
+"""Binary form of the typed messages between processes."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from .failures import Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+@attrs.frozen
+class Codec:
+    """Message classes by the number that stands before each on the wire.
+
+    :param kinds: attrs class of every message that this codec carries
+    """
+
+    kinds: Mapping[int, type]
+    _numbers: dict[type, int] = attrs.field(init=False)
+
+    @_numbers.default
+    def _invert_kinds(self) -> dict[type, int]:
+        return {kind: number for number, kind in self.kinds.items()}
+
+    def encode(self, message: object) -> bytes:
+        """Encode one message.
+
+        :raises KeyError: when the class of the message has no number
+        """
+        return msgspec.msgpack.encode((self._numbers[type(message)], message))
+
+    def decode(self, data: bytes, peer: str) -> Result[Any, Failure]:
+        """Decode one message.
+
+        :param data: what :meth:`encode` made, or anything at all
+        :param peer: where the data came from
+        """
+        try:
+            number, body = msgspec.msgpack.decode(
+                data, type=tuple[int, msgspec.Raw]
+            )
+            kind: type[Any] = self.kinds[number]
+            message: Any = msgspec.msgpack.decode(body, type=kind)
+        except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
+            return Failed(
+                Failure('decode message', peer, f'not a message: {error}')
+            )
+        return Success(message)
--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -0,0 +1,83 @@
+"""Registry of the numbered events that the processes log.
+
+Numbers: 1000 supervision and settings, 2000 balancer, 3000 agent flows,
+4000 control, 5000 links, 6000 requests and ledger, 7000 command line.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class Level(enum.Enum):
+    """How urgent an event is."""
+
+    INFO = 'INFO'
+    WARNING = 'WARNING'
+    ERROR = 'ERROR'
+
+
+@attrs.frozen
+class Event:
+    """One kind of thing that is worth a line in the log.
+
+    :param number: stable number of the event
+    :param level: how urgent it is
+    :param text: what happened, for an operator
+    :param action: what an operator may do about it
+    """
+
+    number: int
+    level: Level
+    text: str
+    action: str = 'None.'
+
+
+TASK_FAILED = Event(
+    1001,
+    Level.WARNING,
+    'A task failed and is started again.',
+    'Look at the error; the process goes on.',
+)
+TASK_GIVEN_UP = Event(
+    1002,
+    Level.ERROR,
+    'A task failed too often; the process stops.',
+    'Look at the error, mend its cause, start the process again.',
+)
+ROLE_STARTED = Event(1003, Level.INFO, 'The role is started.')
+SHUTDOWN_STARTED = Event(1004, Level.INFO, 'A graceful shutdown begins.')
+ROLE_STOPPED = Event(1005, Level.INFO, 'The role has stopped.')
+BALANCER_STALE = Event(
+    2001,
+    Level.WARNING,
+    'The published state is too old; the balancer reports itself unhealthy.',
+    'Check the control instances and the way to them.',
+)
+BALANCER_FRESH = Event(
+    2002, Level.INFO, 'The published state is fresh; the balancer serves.'
+)
+CONTROL_UNREACHABLE = Event(
+    5001,
+    Level.WARNING,
+    'No answer from a control instance; the node turns to the next.',
+    'Check the control instance that is named as peer.',
+)
+LINK_KEY_REFUSED = Event(
+    5002,
+    Level.WARNING,
+    'A message with a wrong key, or none, was dropped.',
+    'Compare the key files of both ends.',
+)
+MESSAGE_UNREADABLE = Event(
+    5003, Level.WARNING, 'A message that could not be decoded was dropped.'
+)
+
+#: Every event by its number.
+EVENTS: dict[int, Event] = {
+    event.number: event
+    for event in tuple(globals().values())
+    if isinstance(event, Event)
+}
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: tasks that own sockets around the decision logic."""
--- /dev/null
+++ b/packages/pistachiohook-standins/src/pistachiohook_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the fabric, targets and callers."""
--- /dev/null
+++ b/tests/core/addresses/steps/address_steps.py
@@ -0,0 +1,33 @@
+"""Steps about addresses."""
+
+from __future__ import annotations
+
+from behave import then
+from behave import when
+from pistachiohook_core.addresses import pack_address
+from pistachiohook_core.addresses import parse_address
+from pistachiohook_core.addresses import unpack_address
+from returns.result import Success
+
+
+@when('the text "{text}" is read as an address')
+def read_text(context, text):
+    context.outcome = parse_address(text)
+
+
+@then('the outcome is "{outcome}"')
+def compare_outcome(context, outcome):
+    good = isinstance(context.outcome, Success)
+    found = str(context.outcome.unwrap()) if good else 'refused'
+    assert found == outcome, found
+
+
+@when('the address {text} is packed and unpacked')
+def pack_and_unpack(context, text):
+    packed = pack_address(parse_address(text).unwrap())
+    context.address = unpack_address(packed)
+
+
+@then('it is {text} again')
+def compare_address(context, text):
+    assert str(context.address) == text
