--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Steering of datagrams so that flows stay with their owner."""
--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/steering/buckets.py
@@ -0,0 +1,137 @@
+"""Tables of buckets, and the target that owns each bucket."""
+
+from __future__ import annotations
+
+from array import array
+from functools import lru_cache
+from math import log
+from typing import TYPE_CHECKING
+
+import attrs
+from xxhash import xxh3_64_intdigest
+
+from ..published import TargetState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..addresses import Address
+    from ..published import Service
+    from ..published import Target
+
+#: Buckets of every service; a power of two.
+BUCKET_COUNT = 16384
+
+#: Targets whose distances are kept between two builds.
+DISTANCES_KEPT = 512
+
+_BUCKET_KEYS = tuple(
+    bucket.to_bytes(4, 'big') for bucket in range(BUCKET_COUNT)
+)
+_HASH_RANGE = 2.0**64
+
+
+@attrs.frozen
+class Table:
+    """The owner of every bucket of one service.
+
+    :param service: the service
+    :param targets: every target of the service, sorted by name
+    :param owners: index into the targets by bucket; empty without targets
+    :param accepts_new: whether a target takes new flows
+    """
+
+    service: Service
+    targets: tuple[Target, ...]
+    owners: array[int]
+    accepts_new: bool
+
+    def find_owner(self, bucket: int) -> Target | None:
+        """Return the target that owns a bucket, or None without targets."""
+        return self.targets[self.owners[bucket]] if self.owners else None
+
+    def find_bucket(self, caller: Address, entry: Address) -> int:
+        """Return the bucket of a caller's flow to a service address."""
+        return find_bucket(caller, entry)
+
+    def rank_targets(self, bucket: int) -> list[Target]:
+        """Return all targets, the likeliest holder of a bucket first."""
+        return sorted(
+            self.targets,
+            key=lambda target: (
+                _measure_distances(target.name)[bucket] / target.slots,
+                target.name,
+            ),
+        )
+
+
+def find_bucket(caller: Address, entry: Address) -> int:
+    """Return the bucket of a caller's flow to a service address.
+
+    It is the same for every service and table.
+    """
+    key = f'{caller.host}:{caller.port}>{entry.host}:{entry.port}'
+    return xxh3_64_intdigest(key.encode()) & (BUCKET_COUNT - 1)
+
+
+def build_table(service: Service, targets: Iterable[Target]) -> Table:
+    """Give each bucket an owner by weighted rendezvous hashing.
+
+    Equal input gives an equal table, whatever the order of the targets. A
+    change of one target moves only buckets from it or to it. While no target
+    takes new flows, the draining ones own the buckets, so that established
+    flows can still be reached.
+
+    :param service: the service
+    :param targets: targets; those of other services are left out
+    """
+    members = tuple(
+        sorted(
+            (target for target in targets if target.service == service.name),
+            key=lambda target: target.name,
+        )
+    )
+    shares = [_weigh(target) for target in members]
+    accepts_new = any(shares)
+    if not accepts_new:
+        shares = [float(target.slots) for target in members]
+    return Table(
+        service, members, _choose_owners(members, shares), accepts_new
+    )
+
+
+def _weigh(target: Target) -> float:
+    if target.state is TargetState.DRAINING:
+        return 0.0
+    return float(target.slots * target.weight)
+
+
+def _choose_owners(
+    members: tuple[Target, ...], shares: list[float]
+) -> array[int]:
+    eligible = [index for index, share in enumerate(shares) if share > 0]
+    columns = [
+        [
+            distance / shares[index]
+            for distance in _measure_distances(members[index].name)
+        ]
+        for index in eligible
+    ]
+    return array(
+        'H',
+        (eligible[row.index(min(row))] for row in zip(*columns, strict=True)),
+    )
+
+
+@lru_cache(DISTANCES_KEPT)
+def _measure_distances(name: str) -> array[float]:
+    # Exponentially distributed: the least of distance / share over the
+    # targets falls to each target in proportion to its share.
+    seed = xxh3_64_intdigest(name.encode())
+    return array(
+        'd',
+        (
+            -log((xxh3_64_intdigest(key, seed) + 1) / _HASH_RANGE)
+            for key in _BUCKET_KEYS
+        ),
+    )
