Keep flows with their holder while targets change

For 10 s after a bucket's owner changes the new owner offers a datagram of an unknown flow to its peers, former owners first, and starts or closes a flow only when each has declined; a peer that declines remembers the new owner, so that a balancer with an older table starts no second flow.

--- a/packages/pistachiohook-core/src/pistachiohook_core/steering/envelope.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/steering/envelope.py
@@ -48,6 +48,8 @@
     DECLINED = 4
     #: Agent to agent: a caller's datagram to take only if the flow is known.
     OFFERED = 5
+    #: Agent to agent: the flow is held by the agent named as the sender.
+    HELD = 6
 
 
 _KINDS = {int(kind): kind for kind in Kind}
--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/steering/ownership.py
@@ -0,0 +1,189 @@
+"""Who owns a bucket now, who has owned it, and who may hold its flows."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..published import Published
+from ..published import TargetState
+from .buckets import build_table
+from .flow_messages import Holder
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..published import Service
+    from ..published import Target
+    from .buckets import Table
+
+#: Time after a change of a bucket's owner in which its flows may be unknown
+#: to the new owner, in seconds. Longer than a change needs to reach all nodes.
+WINDOW = 10.0
+
+#: Most former tables that are kept.
+FORMER_TABLES_MAX = 32
+
+#: Most peers that are asked for one flow.
+OFFERS_MAX = 8
+
+
+@attrs.frozen
+class FormerTable:
+    """A table, and when it was replaced.
+
+    :param table: the table
+    :param replaced_at: time in seconds
+    """
+
+    table: Table
+    replaced_at: float
+
+
+@attrs.define
+class Ownership:
+    """State of one agent's view of its service's buckets.
+
+    :param service: name of the service
+    :param target: name of the agent's target
+    :param incarnation: number of the agent's start
+    """
+
+    service: str
+    target: str
+    incarnation: int
+    published: Published = attrs.field(factory=Published, init=False)
+    table: Table | None = attrs.field(default=None, init=False)
+    _former: tuple[FormerTable, ...] = attrs.field(default=(), init=False)
+    _started_at: float | None = attrs.field(default=None, init=False)
+    _holders: dict[Holder, Target] = attrs.field(factory=dict, init=False)
+    _lagging_since: float | None = attrs.field(default=None, init=False)
+
+    @property
+    def revision(self) -> int:
+        """Published revision that is applied."""
+        return self.published.revision
+
+    def apply_published(self, published: Published, now: float) -> bool:
+        """Take over what is published.
+
+        :returns: whether the table of the service has changed
+        """
+        self.published = published
+        self._lagging_since = None
+        service = _find_service(published, self.service)
+        members = tuple(
+            sorted(
+                (
+                    target
+                    for target in published.targets
+                    if target.service == self.service
+                ),
+                key=lambda target: target.name,
+            )
+        )
+        if service is None or self._is_built(service, members):
+            return False
+        if self.table is not None:
+            self._keep_former(self.table, now)
+        if self._started_at is None:
+            self._started_at = now
+        self.table = build_table(service, members)
+        self._holders = {
+            Holder(target.agent, target.incarnation): target
+            for target in self.table.targets
+        }
+        return True
+
+    def is_self(self, target: Target) -> bool:
+        """Return whether a target is this start of this agent."""
+        return (
+            target.name == self.target
+            and target.incarnation == self.incarnation
+        )
+
+    def accepts_new(self) -> bool:
+        """Return whether this agent's target takes new flows."""
+        table = self.table
+        return table is not None and any(
+            self.is_self(target) and target.state is TargetState.SERVING
+            for target in table.targets
+        )
+
+    def find_peer(self, holder: Holder) -> Target | None:
+        """Return the live target of a holder, or None."""
+        return self._holders.get(holder)
+
+    def is_settled(self, bucket: int, now: float) -> bool:
+        """Return whether all flows of an owned bucket are known by now."""
+        if self._started_at is None or now - self._started_at < WINDOW:
+            return False
+        return all(
+            owner is not None and self.is_self(owner)
+            for owner in self._list_former_owners(bucket, now)
+        )
+
+    def is_lagging(self, version: int, now: float) -> bool:
+        """Return whether a newer state is in force elsewhere, for a while.
+
+        :param version: published revision that a peer has applied
+        """
+        if version <= self.revision:
+            return False
+        if self._lagging_since is None:
+            self._lagging_since = now
+        return now - self._lagging_since < WINDOW
+
+    def list_candidates(self, bucket: int, now: float) -> tuple[Target, ...]:
+        """Return live peers that may hold flows of a bucket, likeliest first.
+
+        Former owners come first, the latest before the others.
+        """
+        if self.table is None:
+            return ()
+        live = {target.name: target for target in self.table.targets}
+        former = (
+            owner.name
+            for owner in self._list_former_owners(bucket, now)
+            if owner is not None
+        )
+        ranked = (target.name for target in self.table.rank_targets(bucket))
+        names = dict.fromkeys(itertools.chain(former, ranked))
+        return tuple(
+            live[name]
+            for name in names
+            if name in live and name != self.target
+        )
+
+    def _is_built(self, service: Service, members: tuple[Target, ...]) -> bool:
+        table = self.table
+        return (
+            table is not None
+            and table.service == service
+            and table.targets == members
+        )
+
+    def _keep_former(self, table: Table, now: float) -> None:
+        fresh = (
+            former
+            for former in self._former
+            if now - former.replaced_at < WINDOW
+        )
+        kept = (FormerTable(table, now), *fresh)
+        self._former = kept[:FORMER_TABLES_MAX]
+
+    def _list_former_owners(
+        self, bucket: int, now: float
+    ) -> Iterator[Target | None]:
+        return (
+            former.table.find_owner(bucket)
+            for former in self._former
+            if now - former.replaced_at < WINDOW
+        )
+
+
+def _find_service(published: Published, name: str) -> Service | None:
+    found = (one for one in published.services if one.name == name)
+    return next(found, None)
