--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Targets and balancers: leases, states and weights."""
