--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, order and at-most-once execution of requests at an agent."""
