--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: Raft as a pure state machine."""
--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable state on a disk, over injected file operations."""
