Add the replicated log: Raft as a pure state machine

handle(replica, event, now) gives actions; where something must be durable, one Persist comes first and all that depends on it (messages, applied entries, answers) follows.

An instance without a data folder gets a new identity and asks to be let in: learner, caught up, then its lost identity is removed and retired, then it votes. Messages name the receiver's identity, so none for a lost identity is answered by the new one. The first instance by name founds a cluster once all others have said that they belong to none; messages carry the cluster, and nothing is accepted before a majority of the instances votes.

--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/changes.py
@@ -0,0 +1,185 @@
+"""Founding of a cluster and changes of its membership, one at a time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from .entries import EntryKind
+from .entries import Membership
+from .entries import name_instance
+from .entries import Snapshot
+from .events import Retired
+from .events import Send
+from .messages import Join
+from .messages import JoinAnswer
+from .replica import add_entry
+from .replica import Role
+from .replication import broadcast
+
+if TYPE_CHECKING:
+    from .replica import Replica
+
+#: How many retired identities a membership remembers.
+RETIRED_MAX = 64
+
+
+def seek_membership(replica: Replica, now: float) -> None:
+    """Ask to be let in, or found a cluster where nobody has one."""
+    member = replica.identity in replica.membership.members
+    if member or now < replica.join_at:
+        return
+    replica.join_at = now + replica.timing.heartbeat
+    if not replica.cluster and _may_found(replica):
+        _found(replica)
+        return
+    for instance in _other_instances(replica):
+        message = Join(
+            replica.cluster, replica.identity, '', replica.hard_state.term
+        )
+        replica.outbox.append(Send(instance, message))
+
+
+def receive_join(replica: Replica, message: Join) -> None:
+    """Note who asks to be let in, and say whether there is a cluster."""
+    retired = message.sender in replica.membership.retired
+    instance = name_instance(message.sender)
+    if replica.role is Role.LEADER and not retired:
+        known = instance in replica.instances
+        own = instance == name_instance(replica.identity)
+        if known and not own:
+            replica.joiners[message.sender] = None
+    answer = JoinAnswer(
+        replica.cluster,
+        replica.identity,
+        message.sender,
+        replica.hard_state.term,
+        blank=not replica.cluster,
+        retired=retired,
+    )
+    replica.outbox.append(Send(instance, answer))
+
+
+def receive_join_answer(replica: Replica, message: JoinAnswer) -> None:
+    """Note which instances belong to no cluster."""
+    instance = name_instance(message.sender)
+    if message.retired:
+        replica.outbox.append(Retired())
+    elif message.blank:
+        replica.blank.add(instance)
+    else:
+        replica.blank.discard(instance)
+
+
+def change_membership(replica: Replica, now: float) -> None:
+    """Begin the next change when the last one is committed, as a leader."""
+    log = replica.log
+    changed_at, membership = log.find_membership(log.last_index)
+    settled = changed_at <= replica.commit
+    if not settled or log.find_term(replica.commit) != replica.hard_state.term:
+        return
+    changed = _find_change(replica, membership, now)
+    if changed is not None:
+        add_entry(replica, EntryKind.MEMBERSHIP, membership=changed)
+        broadcast(replica, now)
+
+
+def _other_instances(replica: Replica) -> tuple[str, ...]:
+    own = name_instance(replica.identity)
+    return tuple(name for name in replica.instances if name != own)
+
+
+def _may_found(replica: Replica) -> bool:
+    first = min(replica.instances) == name_instance(replica.identity)
+    return first and replica.blank.issuperset(_other_instances(replica))
+
+
+def _found(replica: Replica) -> None:
+    membership = Membership(voters=(replica.identity,))
+    replica.cluster = replica.identity
+    replica.log.compact(Snapshot(membership=membership))
+    replica.dirty = True
+    replica.rewrite = True
+
+
+def _find_change(
+    replica: Replica, membership: Membership, now: float
+) -> Membership | None:
+    for joiner in tuple(replica.joiners):
+        del replica.joiners[joiner]
+        if joiner not in membership.members + membership.retired:
+            return _add_learner(membership, joiner)
+    for learner in membership.learners:
+        if _is_caught_up(replica, learner, now) and not _is_taken(
+            replica, learner, now
+        ):
+            return _take_in(membership, learner)
+    return None
+
+
+def _add_learner(membership: Membership, joiner: str) -> Membership:
+    instance = name_instance(joiner)
+    replaced = tuple(
+        learner
+        for learner in membership.learners
+        if name_instance(learner) == instance
+    )
+    kept = tuple(
+        learner for learner in membership.learners if learner not in replaced
+    )
+    return attrs.evolve(
+        membership,
+        learners=(*kept, joiner),
+        retired=_retire(membership, replaced),
+    )
+
+
+def _take_in(membership: Membership, learner: str) -> Membership:
+    """Remove the instance's lost identity, or else let the new one vote."""
+    instance = name_instance(learner)
+    lost = tuple(
+        voter
+        for voter in membership.voters
+        if name_instance(voter) == instance
+    )
+    if lost:
+        return attrs.evolve(
+            membership,
+            voters=tuple(
+                voter for voter in membership.voters if voter not in lost
+            ),
+            retired=_retire(membership, lost),
+        )
+    return attrs.evolve(
+        membership,
+        voters=(*membership.voters, learner),
+        learners=tuple(
+            other for other in membership.learners if other != learner
+        ),
+    )
+
+
+def _retire(
+    membership: Membership, identities: tuple[str, ...]
+) -> tuple[str, ...]:
+    return (membership.retired + identities)[-RETIRED_MAX:]
+
+
+def _is_caught_up(replica: Replica, learner: str, now: float) -> bool:
+    progress = replica.progress.get(learner)
+    if progress is None:
+        return False
+    recent = now - progress.heard_at <= replica.timing.election_min
+    return recent and progress.match_index >= replica.commit
+
+
+def _is_taken(replica: Replica, learner: str, now: float) -> bool:
+    """Tell whether a voter of the same instance is still alive."""
+    instance = name_instance(learner)
+    since = now - replica.timing.election_max
+    return any(
+        replica.progress[voter].heard_at > since
+        for voter in replica.membership.voters
+        if name_instance(voter) == instance
+    )
--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replication.py
@@ -0,0 +1,307 @@
+"""A leader's side and a follower's side of log replication."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .entries import EntryKind
+from .entries import Snapshot
+from .events import Appended
+from .events import Refusal
+from .events import Refused
+from .events import Restore
+from .messages import Append
+from .messages import AppendAnswer
+from .messages import InstallSnapshot
+from .replica import add_entries
+from .replica import add_entry
+from .replica import commit_up_to
+from .replica import delay_election
+from .replica import follow
+from .replica import Progress
+from .replica import Role
+from .replica import send
+
+if TYPE_CHECKING:
+    from .entries import Entry
+    from .events import Compact
+    from .events import Propose
+    from .replica import Replica
+
+#: Bound of the payloads in one message, in bytes.
+BATCH_BYTES = 262_144
+
+
+def lead(replica: Replica, now: float) -> None:
+    """Begin to lead in the replica's term."""
+    replica.role = Role.LEADER
+    replica.leader = replica.identity
+    replica.grants.clear()
+    add_entry(replica, EntryKind.NOOP)
+    broadcast(replica, now)
+
+
+def broadcast(replica: Replica, now: float) -> None:
+    """Begin a round: send a heartbeat to every other replica."""
+    replica.heartbeat_at = now + replica.timing.heartbeat
+    replica.probe += 1
+    replica.probe_times[replica.probe] = now
+    _follow_membership(replica, now)
+    for identity in replica.progress:
+        send_entries(replica, identity, now)
+    advance_commit(replica)
+
+
+def propose(replica: Replica, event: Propose, now: float) -> None:
+    """Append commands to the leader's log, or refuse them."""
+    refusal = _find_refusal(replica)
+    if refusal is not None:
+        replica.outbox.extend(
+            Refused(request, refusal) for request in event.requests
+        )
+        return
+    for request, command in zip(event.requests, event.commands, strict=True):
+        entry = add_entry(replica, EntryKind.COMMAND, command)
+        replica.outbox.append(Appended(request, entry.index, entry.term))
+    for identity in replica.progress:
+        send_entries(replica, identity, now)
+    advance_commit(replica)
+
+
+def send_entries(replica: Replica, identity: str, now: float) -> None:
+    """Send a replica what it lacks, or an empty heartbeat."""
+    progress = replica.progress[identity]
+    snapshot = replica.log.snapshot
+    if progress.next_index <= snapshot.index:
+        if _may_send_snapshot(replica, progress, now):
+            progress.snapshot_at = now
+            _send_snapshot(replica, identity)
+            return
+        _send_append(replica, identity, snapshot.index, ())
+        return
+    previous = progress.next_index - 1
+    entries = replica.log.batch(progress.next_index, BATCH_BYTES)
+    progress.next_index += len(entries)
+    _send_append(replica, identity, previous, entries)
+
+
+def receive_append(replica: Replica, message: Append, now: float) -> None:
+    """Take a leader's entries, as a follower."""
+    if message.term < replica.hard_state.term:
+        _answer(replica, message, False, replica.commit)
+        return
+    _hear_leader(replica, message, now)
+    if message.previous_index < replica.log.snapshot.index:
+        _answer(replica, message, True, replica.commit)
+        return
+    held = replica.log.find_term(message.previous_index)
+    if held != message.previous_term:
+        hint = replica.log.last_index if held is None else replica.commit
+        _answer(replica, message, False, hint)
+        return
+    _add_new_entries(replica, message.entries)
+    match = message.previous_index + len(message.entries)
+    commit_up_to(replica, min(message.commit, match))
+    _answer(replica, message, True, match)
+
+
+def receive_snapshot(
+    replica: Replica, message: InstallSnapshot, now: float
+) -> None:
+    """Take a leader's snapshot, as a follower."""
+    if message.term < replica.hard_state.term:
+        _answer(replica, message, False, replica.commit)
+        return
+    _hear_leader(replica, message, now)
+    snapshot = message.snapshot
+    if snapshot.index > replica.commit:
+        replica.log.compact(snapshot)
+        replica.unsaved = ()
+        replica.commit = snapshot.index
+        replica.applied = snapshot.index
+        replica.dirty = True
+        replica.rewrite = True
+        replica.outbox.append(Restore(snapshot))
+    _answer(replica, message, True, replica.commit)
+
+
+def receive_answer(
+    replica: Replica, message: AppendAnswer, now: float
+) -> None:
+    """Note what a follower holds, as a leader."""
+    progress = replica.progress.get(message.sender)
+    if progress is None or message.term != replica.hard_state.term:
+        return
+    progress.heard_at = now
+    progress.probe = max(progress.probe, message.probe)
+    if message.matched:
+        progress.match_index = max(progress.match_index, message.index)
+        progress.next_index = max(
+            progress.next_index, progress.match_index + 1
+        )
+        advance_commit(replica)
+    else:
+        progress.next_index = max(progress.match_index, message.index) + 1
+    if _may_send_more(replica, progress, now):
+        send_entries(replica, message.sender, now)
+
+
+def advance_commit(replica: Replica) -> None:
+    """Commit what a quorum holds, if it ends in the leader's own term."""
+    index = rank_quorum(
+        replica,
+        replica.log.last_index,
+        {name: peer.match_index for name, peer in replica.progress.items()},
+    )
+    if replica.log.find_term(index) == replica.hard_state.term:
+        commit_up_to(replica, index)
+
+
+def rank_quorum(replica: Replica, own: int, others: dict[str, int]) -> int:
+    """Return the greatest value that a quorum of voters has reached.
+
+    :param own: value of the replica itself
+    :param others: value of each other replica
+    """
+    membership = replica.membership
+    values = {**others, replica.identity: own}
+    reached = sorted(
+        (values.get(voter, 0) for voter in membership.voters), reverse=True
+    )
+    return reached[membership.quorum - 1]
+
+
+def check_quorum(replica: Replica, now: float) -> None:
+    """Let a leader that has not heard from a quorum give up."""
+    since = now - replica.timing.election_max
+    heard = {
+        name: int(peer.heard_at >= since)
+        for name, peer in replica.progress.items()
+    }
+    if not rank_quorum(replica, 1, heard):
+        follow(replica, replica.hard_state.term, '', now)
+
+
+def compact(replica: Replica, event: Compact) -> None:
+    """Let a snapshot take the place of the entries within it."""
+    log = replica.log
+    term = log.find_term(event.index)
+    if term is None or not log.snapshot.index < event.index <= replica.applied:
+        return
+    _, membership = log.find_membership(event.index)
+    log.compact(Snapshot(event.index, term, membership, event.state))
+    replica.dirty = True
+    replica.rewrite = True
+
+
+def _find_refusal(replica: Replica) -> Refusal | None:
+    if replica.role is not Role.LEADER:
+        return Refusal.NOT_LEADER
+    if len(replica.membership.voters) <= len(replica.instances) // 2:
+        return Refusal.TOO_FEW_VOTERS
+    return None
+
+
+def _follow_membership(replica: Replica, now: float) -> None:
+    known = replica.progress
+    others = [
+        member
+        for member in replica.membership.members
+        if member != replica.identity
+    ]
+    following = replica.log.last_index + 1
+    replica.progress = {
+        member: known.get(member, Progress(following, 0, now))
+        for member in others
+    }
+
+
+def _may_send_snapshot(
+    replica: Replica, progress: Progress, now: float
+) -> bool:
+    return now - progress.snapshot_at >= replica.timing.election_max
+
+
+def _may_send_more(replica: Replica, progress: Progress, now: float) -> bool:
+    if progress.next_index <= replica.log.snapshot.index:
+        return _may_send_snapshot(replica, progress, now)
+    return progress.next_index <= replica.log.last_index
+
+
+def _send_append(
+    replica: Replica,
+    identity: str,
+    previous: int,
+    entries: tuple[Entry, ...],
+) -> None:
+    send(
+        replica,
+        Append(
+            replica.cluster,
+            replica.identity,
+            identity,
+            replica.hard_state.term,
+            previous,
+            replica.log.find_term(previous) or 0,
+            entries,
+            replica.commit,
+            replica.probe,
+        ),
+    )
+
+
+def _send_snapshot(replica: Replica, identity: str) -> None:
+    send(
+        replica,
+        InstallSnapshot(
+            replica.cluster,
+            replica.identity,
+            identity,
+            replica.hard_state.term,
+            replica.log.snapshot,
+            replica.probe,
+        ),
+    )
+
+
+def _hear_leader(
+    replica: Replica, message: Append | InstallSnapshot, now: float
+) -> None:
+    if replica.cluster != message.cluster:
+        replica.cluster = message.cluster
+        replica.dirty = True
+        replica.rewrite = True
+    if replica.role is not Role.FOLLOWER or replica.leader != message.sender:
+        follow(replica, message.term, message.sender, now)
+    replica.heard_at = now
+    delay_election(replica, now)
+
+
+def _add_new_entries(replica: Replica, entries: tuple[Entry, ...]) -> None:
+    held = sum(
+        1
+        for entry in entries
+        if replica.log.find_term(entry.index) == entry.term
+    )
+    if held < len(entries):
+        add_entries(replica, entries[held:])
+
+
+def _answer(
+    replica: Replica,
+    message: Append | InstallSnapshot,
+    matched: bool,
+    index: int,
+) -> None:
+    send(
+        replica,
+        AppendAnswer(
+            replica.cluster,
+            replica.identity,
+            message.sender,
+            replica.hard_state.term,
+            matched,
+            index,
+            message.probe,
+        ),
+    )
--- a/packages/pistachiohook-core/src/pistachiohook_core/storage/journal.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/storage/journal.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..consensus.events import Persist
     from .files import FileOperations
 
 #: Name of the file that holds the journal.
@@ -150,6 +151,26 @@
     return _decode_saved(records.bodies)
 
 
+def save(
+    journal: Journal, identity: str, persist: Persist
+) -> Result[None, Failure]:
+    """Make durable what a replica asks for.
+
+    :param identity: identity of the replica
+    """
+    if persist.snapshot is None:
+        return journal.append(Addition(persist.hard_state, persist.entries))
+    return journal.replace(
+        Saved(
+            identity,
+            persist.cluster,
+            persist.hard_state,
+            persist.snapshot,
+            persist.entries,
+        )
+    )
+
+
 def _cut_journal(journal: Journal, length: int) -> Result[None, Failure]:
     return journal.run(
         (
--- /dev/null
+++ b/tests/core/consensus/environment.py
@@ -0,0 +1,8 @@
+"""Let the steps use the virtual disk of the storage tests."""
+
+from __future__ import annotations
+
+from pathlib import Path
+import sys
+
+sys.path.append(str(Path(__file__).parents[1] / 'storage'))
--- /dev/null
+++ b/tests/core/consensus/steps/repair_steps.py
@@ -0,0 +1,259 @@
+"""Steps on founding, loss and repair."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+from pistachiohook_core.consensus.events import Received
+from pistachiohook_core.consensus.events import Refusal
+from pistachiohook_core.consensus.messages import Append
+from pistachiohook_core.consensus.messages import CONSENSUS_CODEC
+from pistachiohook_core.consensus.messages import PreVote
+from pistachiohook_core.consensus.messages import Vote
+from virtual_cluster import Cluster
+from virtual_cluster import start_cluster
+
+
+@given('{size:d} control instances that all vote')
+def found(context, size):
+    context.cluster = start_cluster(size)
+    context.proposed = []
+
+
+@given('{size:d} control instances, of which only the first can be reached')
+def found_alone(context, size):
+    context.cluster = Cluster(tuple('abcde'[:size]))
+    context.cluster.start('a')
+
+
+@given('{count:d} accepted changes')
+def accept(context, count):
+    propose(context, count)
+    context.cluster.run(1.0)
+    check_accepted(context, count)
+
+
+@when('{count:d} changes are proposed to the leader')
+def propose(context, count):
+    leader = context.cluster.find_leader()
+    context.proposed += [context.cluster.propose(leader) for _ in range(count)]
+
+
+@when('{seconds:d} second passes')
+@when('{seconds:d} seconds pass')
+def run(context, seconds):
+    context.cluster.run(seconds)
+
+
+def followers(cluster):
+    leader = cluster.find_leader()
+    return [name for name in cluster.names if name != leader]
+
+
+def kill_leader(cluster):
+    cluster.kill(cluster.find_leader())
+
+
+def kill_follower(cluster):
+    cluster.kill(followers(cluster)[0])
+
+
+def restart_leader(cluster):
+    restart(cluster, cluster.find_leader())
+
+
+def restart_all(cluster):
+    for name in cluster.names:
+        cluster.kill(name)
+    for name in cluster.names:
+        cluster.start(name)
+
+
+def compact_and_restart(cluster):
+    cluster.compact(cluster.find_leader())
+    cluster.run(0.5)
+    restart_all(cluster)
+
+
+def restart(cluster, name):
+    cluster.kill(name)
+    cluster.start(name)
+
+
+def replace(cluster, name):
+    cluster.lose_disk(name)
+    cluster.start(name)
+
+
+def replace_leader(cluster):
+    replace(cluster, cluster.find_leader())
+
+
+def replace_follower(cluster):
+    replace(cluster, followers(cluster)[0])
+
+
+def compact_and_replace(cluster):
+    cluster.compact(cluster.find_leader())
+    replace_follower(cluster)
+
+
+def await_repair(cluster):
+    """Let time pass until every instance's newest identity votes."""
+    for _ in range(100):
+        cluster.run(0.1)
+        identities = {one.identity for one in cluster.instances.values()}
+        if cluster.voters() == identities:
+            return
+    raise AssertionError('not repaired')
+
+
+def replace_two(cluster):
+    first, second = followers(cluster)[:2]
+    replace(cluster, first)
+    await_repair(cluster)
+    replace(cluster, second)
+
+
+def replace_then_leader(cluster):
+    replace_follower(cluster)
+    await_repair(cluster)
+    replace_leader(cluster)
+
+
+def replace_then_kill(cluster):
+    first, second = followers(cluster)[:2]
+    replace(cluster, first)
+    await_repair(cluster)
+    cluster.kill(second)
+
+
+LOSSES = {
+    'the leader is killed': kill_leader,
+    'a follower is killed': kill_follower,
+    'the leader is killed and started': restart_leader,
+    'all instances are killed and started': restart_all,
+    'the leader takes a snapshot, all are restarted': compact_and_restart,
+    'the leader loses its disk': replace_leader,
+    'a follower loses its disk': replace_follower,
+    'a follower loses its disk after a snapshot': compact_and_replace,
+    'two followers lose their disks, one after repair': replace_two,
+    'the leader loses its disk after a repair': replace_then_leader,
+    'a follower loses its disk, another is killed after repair': (
+        replace_then_kill
+    ),
+}
+
+
+@when('a follower loses its disk and only hears requests for its old identity')
+def hear_requests(context):
+    cluster = context.cluster
+    name = followers(cluster)[0]
+    old = cluster.instances[name].identity
+    replace(cluster, name)
+    leader = cluster.instances[cluster.find_leader()].identity
+    common = (leader, leader, old, 99)
+    cluster.flying.clear()
+    for message in (
+        PreVote(*common, 10_000, 99),
+        Vote(*common, 10_000, 99),
+        Append(*common, 0, 0, (), 0, 1),
+    ):
+        CONSENSUS_CODEC.decode(
+            CONSENSUS_CODEC.encode(message), 'test'
+        ).unwrap()
+        cluster.feed(name, Received(message))
+    context.old = old
+
+
+@when('a follower is replaced and its old disk comes back')
+def bring_back(context):
+    cluster = context.cluster
+    name = followers(cluster)[0]
+    context.old = cluster.instances[name].identity
+    old_disk = cluster.instances[name].disk
+    replace(cluster, name)
+    await_repair(cluster)
+    cluster.kill(name)
+    cluster.instances[name].disk = old_disk
+    cluster.start(name)
+    cluster.run(6.0)
+
+
+@when('{loss}')
+def lose(context, loss):
+    LOSSES[loss](context.cluster)
+
+
+@then('all {count:d} changes are accepted')
+def check_accepted(context, count):
+    accepted = context.cluster.accepted
+    assert all(number in accepted for number in context.proposed)
+    assert len(context.proposed) == count
+
+
+@then('every instance holds the same changes')
+@then('every instance that runs holds all that was accepted')
+def check_same(context):
+    cluster = context.cluster
+    cluster.check()
+    cluster.run(1.0)
+    held = [
+        cluster.commands(name)
+        for name in cluster.names
+        if cluster.instances[name].process
+    ]
+    assert held
+    for commands in held:
+        assert commands == held[0]
+        numbers = {int(command) for command in commands}
+        assert numbers.issuperset(cluster.accepted)
+
+
+@then('every instance is fresh')
+def check_fresh(context):
+    for name in context.cluster.names:
+        assert context.cluster.freshness(name) < 0.5
+
+
+@then('a leader accepts a further change')
+def check_further(context):
+    number = context.cluster.propose(context.cluster.find_leader())
+    context.cluster.run(1.0)
+    assert number in context.cluster.accepted
+
+
+@then('it answers none of them')
+def check_silence(context):
+    assert not context.cluster.flying, context.cluster.flying
+
+
+@then('its old identity is retired once it has joined anew')
+def check_retired(context):
+    await_repair(context.cluster)
+    assert context.old not in context.cluster.voters()
+    last = max(context.cluster.committed)
+    assert context.old in find_membership(context.cluster, last).retired
+
+
+def find_membership(cluster, last):
+    return next(
+        entry.membership
+        for index, entry in sorted(cluster.committed.items(), reverse=True)
+        if index <= last and entry.membership is not None
+    )
+
+
+@then('the old identity neither votes nor leads')
+def check_out(context):
+    cluster = context.cluster
+    assert context.old not in cluster.voters()
+    assert cluster.find_leader()
+    assert cluster.instances[cluster.find_leader()].identity != context.old
+
+
+@then('a change that is proposed to the first is refused')
+def check_refused(context):
+    number = context.cluster.propose('a')
+    assert isinstance(context.cluster.refused[number], Refusal)
