--- /dev/null
+++ b/tests/daemon/links/steps/link_steps.py
@@ -0,0 +1,172 @@
+"""Steps about authenticated links."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from behave import given
+from behave import then
+from behave import when
+from pistachiohook_core.addresses import Address
+from pistachiohook_core.codec import Codec
+from pistachiohook_core.subscription_messages import Leave
+from pistachiohook_core.subscription_messages import SUBSCRIPTION_CODEC
+from pistachiohook_core.subscription_messages import Update
+from pistachiohook_daemon.keys import LinkKeys
+from pistachiohook_daemon.links import _seal
+from pistachiohook_daemon.links import LinkClient
+from pistachiohook_daemon.links import LinkServer
+
+#: Longest wait for a condition that must come true, in seconds.
+PATIENCE = 20.0
+
+
+@given('a listener with the key "{key}"')
+def start_listener(context, key):
+    context.events = []
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.keys = LinkKeys(bytes.fromhex(key))
+    listen(context, Address('127.0.0.1', 0))
+
+
+@given('the listener also takes the key "{key}"')
+def add_key(context, key):
+    context.server.keys = LinkKeys(context.keys.current, bytes.fromhex(key))
+
+
+def listen(context, address):
+    context.server = LinkServer(
+        SUBSCRIPTION_CODEC, context.keys, make_report(context)
+    )
+
+    async def bind():
+        return context.server.listen(address)
+
+    context.address = context.loop.run_until_complete(bind())
+    context.add_cleanup(context.server.close)
+
+
+def make_report(context):
+    return lambda event, **_: context.events.append(event.number)
+
+
+def dial(context, key, codec=SUBSCRIPTION_CODEC):
+    client = LinkClient(
+        'dialer',
+        context.address,
+        codec,
+        LinkKeys(bytes.fromhex(key)),
+        make_report(context),
+    )
+
+    async def start():
+        client.dial()
+
+    context.loop.run_until_complete(start())
+    context.add_cleanup(client.close)
+    return client
+
+
+def wait_for(context, awaitable):
+    waiting = asyncio.wait_for(awaitable, PATIENCE)
+    return context.loop.run_until_complete(waiting)
+
+
+def finish_handshake(context, client):
+    async def serve():
+        receiving = asyncio.ensure_future(context.server.receive())
+        answering = asyncio.ensure_future(client.receive())
+        while client._session is None:
+            client._say_hello()
+            await asyncio.sleep(0.01)
+        receiving.cancel()
+        answering.cancel()
+        await asyncio.gather(receiving, answering, return_exceptions=True)
+
+    wait_for(context, serve())
+
+
+@given('a dialer with the key "{key}"')
+def start_dialer(context, key):
+    context.client = dial(context, key)
+    finish_handshake(context, context.client)
+
+
+@given('a dialer that sends {frame}')
+def start_bad_dialer(context, frame):
+    codec = Codec({9: Leave}) if frame.endswith('no codec') else None
+    wrong = frame.endswith('wrong key')
+    key = ('33' if wrong else '11') * 16
+    client = dial(context, key, codec or SUBSCRIPTION_CODEC)
+    finish_handshake(context, client)
+    if frame == 'random bytes':
+        client._send_raw(b'X' + random.Random(4).randbytes(99))
+    elif frame == 'a short hello':
+        client._send_raw(b'H123')
+    elif frame == 'a replayed message':
+        body = SUBSCRIPTION_CODEC.encode(Leave('n', 1))
+        session = client._session
+        sealed = _seal(session, b'>', body, context.keys.current)
+        client._send_raw(sealed)
+        assert wait_for(context, context.server.receive()).message.node == 'n'
+        client._send_raw(sealed)
+    else:
+        client.send(Leave('n', 1))
+
+
+@when('the dialer sends revision {number:d}')
+def send_revision(context, number):
+    assert context.client.send(Update(number, 0.0))
+
+
+@when('the dialer sends revision {number:d} until it arrives')
+def send_until_arrived(context, number):
+    async def insist():
+        receiving = asyncio.ensure_future(context.server.receive())
+        answering = asyncio.ensure_future(context.client.receive())
+        while not receiving.done():
+            context.client.send(Update(number, 0.0))
+            await asyncio.sleep(0.01)
+        answering.cancel()
+        await asyncio.gather(answering, return_exceptions=True)
+        return receiving.result()
+
+    context.received = wait_for(context, insist())
+
+
+@then('the listener receives revision {number:d}')
+def receive_revision(context, number):
+    incoming = getattr(context, 'received', None)
+    context.incoming = incoming or wait_for(context, context.server.receive())
+    assert context.incoming.message.revision == number
+
+
+@when('the listener answers with revision {number:d}')
+def answer_revision(context, number):
+    peer = context.incoming.peer
+    assert context.server.send(peer, Update(number, 0.0))
+
+
+@then('the dialer receives revision {number:d}')
+def receive_answer(context, number):
+    message = wait_for(context, context.client.receive())
+    assert message.revision == number
+
+
+@when('the listener is started again on its address')
+def restart_listener(context):
+    context.server.close()
+    listen(context, context.address)
+
+
+@then('nothing else was received')
+def find_nothing(context):
+    assert context.incoming.sender == 'dialer'
+
+
+@then('the events hold {event}')
+def compare_events(context, event):
+    expected = [] if event == 'none' else [int(event)]
+    assert context.events == expected, context.events
