--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent role: owns the flows and requests of one target."""
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/balancer/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer role: steers datagrams without state of flows."""
