--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Objects that operators write, and the state machine that accepts them."""
--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -59,6 +59,42 @@
 BALANCER_FRESH = Event(
     2002, Level.INFO, 'The published state is fresh; the balancer serves.'
 )
+CONTROL_CHANGE_ACCEPTED = Event(
+    4051, Level.INFO, 'A change of the configuration was accepted.'
+)
+CONTROL_CHANGE_REFUSED = Event(
+    4052, Level.INFO, 'A change of the configuration was refused.'
+)
+CONTROL_LEASE_EXPIRED = Event(
+    4053,
+    Level.WARNING,
+    'The lease of a node has run out; it is withdrawn.',
+    'Look at the instance that is named as peer.',
+)
+CONTROL_NODE_FENCED = Event(
+    4054,
+    Level.WARNING,
+    'A message of an older incarnation of a node was dropped.',
+    'Look for two processes with one node name.',
+)
+CONTROL_NO_QUORUM = Event(
+    4055,
+    Level.WARNING,
+    'A membership change could not be written; it is tried again.',
+    'Check that a majority of the control instances is up.',
+)
+CONTROL_TOKEN_REFUSED = Event(
+    4056,
+    Level.WARNING,
+    'A request with a wrong token, or none, was refused.',
+    'Look for who sends it; compare the token files.',
+)
+CONTROL_STALE = Event(
+    4057,
+    Level.WARNING,
+    'A control instance answers without a quorum; the node turns to the next.',
+    'Check the links between the control instances.',
+)
 CONTROL_UNREACHABLE = Event(
     5001,
     Level.WARNING,
--- a/packages/pistachiohook-core/src/pistachiohook_core/subscription_messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/subscription_messages.py
@@ -24,6 +24,7 @@
     :param current: whether a linearizable read has shown it current
     :param target: the target that this agent announces
     :param balancer: the balancer that announces itself
+    :param sent: when it was sent, in seconds of the node's own clock
     """
 
     node: str
@@ -32,6 +33,7 @@
     current: bool = False
     target: Target | None = None
     balancer: Balancer | None = None
+    sent: float = 0.0
 
 
 @attrs.frozen
@@ -46,6 +48,8 @@
     :param linearized: whether a linearizable read stands behind this answer
     :param snapshot: everything, for a node far behind
     :param delta: the way from the revision that the node applies
+    :param sent: ``sent`` of the last heartbeat that control had received, so
+        that an update that waited on its way never counts as fresh
     """
 
     revision: int
@@ -53,6 +57,7 @@
     linearized: bool = False
     snapshot: Published | None = None
     delta: Delta | None = None
+    sent: float = 0.0
 
 
 @attrs.frozen
