--- a/packages/pistachiohook-core/src/pistachiohook_core/membership/leases.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/membership/leases.py
@@ -7,10 +7,12 @@
 
 import attrs
 
+from .members import Departure
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..configuration.state import Member
+    from .members import Member
 
 #: Time without a heartbeat after which a lease has run out, in seconds.
 LEASE_DURATION = 3.0
@@ -52,21 +54,6 @@
     expires: float
 
 
-@attrs.frozen
-class Departure:
-    """A node that is to be withdrawn.
-
-    :param node: name of the instance
-    :param incarnation: start of the process that is withdrawn
-    :param holder: control instance that kept its lease; when the node has
-        moved to another one since, it is not withdrawn
-    """
-
-    node: str
-    incarnation: int
-    holder: str
-
-
 @attrs.define
 class LeaseTable:
     """Leases that one control instance keeps.
@@ -112,7 +99,7 @@
         if known is not None and known.incarnation > incarnation:
             return None
         self._leases.pop(node, None)
-        return Departure(node, incarnation, self.instance)
+        return Departure(node, incarnation, self.instance, left=True)
 
     def hear_holder(self, holder: str, now: float) -> None:
         """Note that another control instance keeps its leases."""
@@ -143,17 +130,12 @@
             known = self._leases.get(member.node)
             if known is not None and known.incarnation > member.incarnation:
                 continue
-            if member.holder == self.instance:
-                self._keep(member, now)
-            elif leads and self._is_silent(member.holder, now):
+            silent = leads and self._is_silent(member.holder, now)
+            if silent or member.holder == self.instance:
                 self._keep(member, now)
             elif known is not None and known.holder != self.instance:
                 del self._leases[member.node]
 
-    def drop_moved(self, node: str) -> None:
-        """Forget a node that another control instance has announced."""
-        self._leases.pop(node, None)
-
     def find_expired(self, now: float) -> tuple[Departure, ...]:
         """Return every node whose lease has run out.
 
