--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -50,6 +50,12 @@
 ROLE_STARTED = Event(1003, Level.INFO, 'The role is started.')
 SHUTDOWN_STARTED = Event(1004, Level.INFO, 'A graceful shutdown begins.')
 ROLE_STOPPED = Event(1005, Level.INFO, 'The role has stopped.')
+START_REFUSED = Event(
+    1006,
+    Level.ERROR,
+    'The role cannot be started.',
+    'Look at the error, mend the settings or the files that they name.',
+)
 BALANCER_STALE = Event(
     2001,
     Level.WARNING,
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
@@ -0,0 +1,343 @@
+"""The tasks of an agent."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+import hashlib
+import time
+from typing import TYPE_CHECKING
+
+from aioquic.h3.events import DataReceived
+from aioquic.h3.events import H3Event
+from aioquic.h3.events import HeadersReceived
+import attrs
+from pistachiohook_core.published import Published
+from pistachiohook_core.published import Service
+from pistachiohook_core.published import Target
+from pistachiohook_core.published import TargetState
+from pistachiohook_core.requests.scheduler import Scheduler
+from pistachiohook_core.requests.scheduler import SchedulerSettings
+from pistachiohook_core.requests.scheduler_messages import DrainStarted
+from pistachiohook_core.steering.envelope import Envelope
+from pistachiohook_core.steering.envelope import Keys
+from pistachiohook_core.steering.envelope import Kind
+from pistachiohook_core.steering.envelope import seal
+from pistachiohook_core.steering.envelope import unseal
+from pistachiohook_core.steering.quic import read_connection_id
+from returns.result import Failure as Failed
+
+from ..datagrams import DatagramSocket
+from ..endpoints import Health
+from ..subscriber import build_subscriber
+from .connection import build_stateless_reset
+from .engine import configure_quic
+from .engine import CONNECTION_ID_LENGTH
+from .engine import Engine
+from .engine import Flow
+from .engine import FlowKey
+from .engine import StreamCancelled
+from .exchange import Exchange
+from .exchange import Header
+from .goaway import send_goaway
+from .requests import RequestService
+
+if TYPE_CHECKING:
+    from pistachiohook_core.addresses import Address
+    from pistachiohook_core.metrics import Metrics
+
+    from ..keys import LinkKeys
+    from ..logs import Report
+    from ..settings import AgentSettings
+    from ..settings import Settings
+    from ..subscriber import Subscriber
+    from ..supervisor import Supervisor
+
+#: Idle timeout until the policy of the service is known, in seconds.
+IDLE_TIMEOUT = 15.0
+
+#: Keepalives that go out within one idle timeout.
+KEEPALIVES = 3
+
+#: Time that the published drain needs to reach the balancers, in seconds.
+DRAIN_NOTICE = 1.0
+
+#: Interval at which a drain looks for work in progress, in seconds.
+DRAIN_INTERVAL = 0.05
+
+
+@attrs.define
+class AgentRole:
+    """State of a running agent.
+
+    :param own: the agent's settings
+    :param target: what the agent announces
+    :param keys: keys of the envelopes
+    :param metrics: counts what passes and what is dropped
+    :param sealed: socket between agent, balancers and other agents
+    :param requests: the requests in progress
+    """
+
+    own: AgentSettings
+    target: Target
+    keys: Keys
+    metrics: Metrics
+    sealed: DatagramSocket
+    requests: RequestService
+    engine: Engine | None = None
+    subscriber: Subscriber | None = None
+    published: Published = attrs.field(factory=Published)
+    service: Service | None = None
+    _balancers: dict[FlowKey, Address] = attrs.field(factory=dict)
+    _exchanges: dict[tuple[Flow, int], tuple[int, Exchange]] = attrs.field(
+        factory=dict
+    )
+    _draining: bool = False
+
+    def apply(self, published: Published) -> None:
+        """Put what is published in force."""
+        self.published = published
+        named = (
+            one for one in published.services if one.name == self.own.service
+        )
+        self.service = next(named, None)
+        if self.service is not None:
+            self._apply_policy(self.service)
+        announced = (
+            one for one in published.targets if one.name == self.target.name
+        )
+        state = next((one.state for one in announced), None)
+        if state is TargetState.DRAINING and not self._draining:
+            self.start_drain()
+
+    def start_drain(self) -> None:
+        """Take nothing new; what is in progress goes on."""
+        self._draining = True
+        self.requests.handle(DrainStarted())
+        if self.engine is not None:
+            for flow in self.engine.list_flows():
+                send_goaway(self.engine, flow)
+
+    async def shut_down(self) -> None:
+        """Announce the end, finish the work in progress, close the flows."""
+        self.target = attrs.evolve(self.target, state=TargetState.DRAINING)
+        if self.subscriber is not None:
+            self.subscriber.announce(target=self.target)
+        await asyncio.sleep(DRAIN_NOTICE)
+        self.start_drain()
+        try:
+            async with asyncio.timeout(self.own.drain_timeout):
+                while self.requests.count_open():
+                    await asyncio.sleep(DRAIN_INTERVAL)
+        except TimeoutError:
+            self.metrics.count('drain_timeouts')
+        if self.engine is not None:
+            for flow in self.engine.list_flows():
+                self.engine.close_flow(flow, 'the agent shuts down')
+        if self.subscriber is not None:
+            self.subscriber.leave()
+
+    def receive_sealed(self, data: bytes, peer: Address) -> None:
+        """Take a datagram of a balancer or of another agent."""
+        del peer
+        unsealed = unseal(data, self.keys)
+        if isinstance(unsealed, Failed):
+            self.metrics.count(f'dropped_{unsealed.failure().value}')
+            return
+        envelope = unsealed.unwrap()
+        if self.service is None or envelope.service != self.service.number:
+            self.metrics.count('dropped_wrong_service')
+        elif envelope.incarnation != self.target.incarnation:
+            self.metrics.count('dropped_wrong_incarnation')
+        else:
+            self._deliver(envelope)
+
+    def transmit(self, key: FlowKey, payload: bytes) -> None:
+        """Send a datagram to a caller through a live balancer."""
+        balancer = self._choose_balancer(key)
+        if balancer is None or self.service is None:
+            self.metrics.count('dropped_no_balancer')
+            return
+        envelope = Envelope(
+            Kind.ANSWER,
+            self.service.number,
+            self.target.incarnation,
+            self.published.revision,
+            0,
+            key.caller,
+            key.entry,
+            balancer,
+            payload,
+        )
+        self.sealed.send(seal(envelope, self.keys), balancer)
+
+    def receive_event(self, flow: Flow, event: H3Event) -> None:
+        """Take what a caller does on a flow."""
+        if isinstance(event, HeadersReceived):
+            self._open_exchange(flow, event)
+        elif isinstance(event, DataReceived):
+            found = self._exchanges.get((flow, event.stream_id))
+            if found is not None:
+                found[1].feed_body(event.data, event.stream_ended)
+        elif isinstance(event, StreamCancelled):
+            self._cancel_exchange(flow, event.stream_id)
+
+    def end_flow(self, flow: Flow) -> None:
+        """Cancel what nobody waits for any more."""
+        self.metrics.count('flows_ended')
+        self._balancers.pop(flow.key, None)
+        streams = [stream for held, stream in self._exchanges if held is flow]
+        for stream in streams:
+            self._cancel_exchange(flow, stream)
+
+    def find_health(self) -> Health:
+        """Say whether the agent takes part in the service."""
+        if self.subscriber is None or not self.subscriber.is_current():
+            return Health(False, 'not current since the start')
+        if self.service is None:
+            return Health(False, f'no service {self.own.service}')
+        return Health(True, 'draining' if self._draining else 'serving')
+
+    async def keep_alive(self) -> None:
+        """Ping the flows with requests in progress, until cancelled."""
+        while True:
+            timeout = (
+                self.service.idle_timeout if self.service else IDLE_TIMEOUT
+            )
+            await asyncio.sleep(timeout / KEEPALIVES)
+            for flow in {flow for flow, _ in self._exchanges}:
+                if self.engine is not None and not flow.ended:
+                    flow.connection.send_ping(0)
+                    self.engine.advance(flow)
+
+    def _apply_policy(self, service: Service) -> None:
+        scheduler = self.requests.scheduler
+        scheduler.settings = attrs.evolve(
+            scheduler.settings,
+            queue_limit=service.queue_limit,
+            long_after=service.long_after,
+        )
+        if self.engine is not None:
+            self.engine.configuration.idle_timeout = service.idle_timeout
+
+    def _deliver(self, envelope: Envelope) -> None:
+        key = FlowKey(envelope.caller, envelope.entry)
+        self._balancers[key] = envelope.balancer
+        assert self.engine is not None
+        if not self.engine.receive(key, envelope.payload):
+            self._close_unknown(key, envelope.payload)
+            self._balancers.pop(key, None)
+
+    def _close_unknown(self, key: FlowKey, payload: bytes) -> None:
+        """Tell the caller at once that its flow is gone (RFC 9000, 10.3)."""
+        self.metrics.count('unknown_flows')
+        connection_id = read_connection_id(payload, CONNECTION_ID_LENGTH)
+        if connection_id is not None and self.engine is not None:
+            reset_key = self.engine.reset_key
+            self.transmit(key, build_stateless_reset(reset_key, connection_id))
+
+    def _choose_balancer(self, key: FlowKey) -> Address | None:
+        last = self._balancers.get(key)
+        live = [one.address for one in self.published.balancers]
+        if last in live or not live:
+            return last
+        return live[hash(key) % len(live)]
+
+    def _open_exchange(self, flow: Flow, event: HeadersReceived) -> None:
+        if (flow, event.stream_id) in self._exchanges:
+            return
+        fields = {
+            name.decode(): value.decode() for name, value in event.headers
+        }
+        assert self.engine is not None
+        exchange = Exchange(
+            engine=self.engine,
+            flow=flow,
+            stream_id=event.stream_id,
+            method=fields.get(':method', 'GET'),
+            path=fields.get(':path', '/'),
+            headers=tuple(
+                Header(name.decode(), value.decode())
+                for name, value in event.headers
+                if not name.startswith(b':')
+            ),
+            has_body=not event.stream_ended,
+        )
+        if exchange.has_body:
+            flow.connection.hold_window(event.stream_id)
+        place = (flow, event.stream_id)
+        ended = partial(self._exchanges.pop, place, None)
+        number = self.requests.accept(exchange, ended)
+        if number is not None:
+            self._exchanges[place] = (number, exchange)
+
+    def _cancel_exchange(self, flow: Flow, stream: int) -> None:
+        found = self._exchanges.pop((flow, stream), None)
+        if found is not None:
+            number, exchange = found
+            exchange.cancel()
+            self.requests.cancel(number)
+
+
+def start_agent(
+    settings: Settings,
+    own: AgentSettings,
+    link_keys: LinkKeys,
+    supervisor: Supervisor,
+    metrics: Metrics,
+    report: Report,
+) -> AgentRole:
+    """Bind the sockets and start the tasks of an agent.
+
+    :param settings: settings of the process
+    :param own: the agent's part of them
+    :param link_keys: keys of links and envelopes
+    :param supervisor: keeps the tasks
+    :param metrics: takes counts and durations
+    :param report: logs an event
+    :raises OSError: when an address cannot be bound or a file not be read
+    """
+    sealed = DatagramSocket(own.sealed)
+    address = sealed.open()
+    scheduler = Scheduler(SchedulerSettings(own.slots), time.monotonic())
+    target = Target(
+        name=own.target,
+        service=own.service,
+        availability_zone=settings.availability_zone,
+        agent=address,
+        link=own.link,
+        incarnation=time.time_ns(),
+        slots=own.slots,
+    )
+    role = AgentRole(
+        own=own,
+        target=target,
+        keys=Keys(link_keys.current, link_keys.former),
+        metrics=metrics,
+        sealed=sealed,
+        requests=RequestService(scheduler, own.target_address, metrics),
+    )
+    role.engine = Engine(
+        configuration=configure_quic(
+            own.certificate, own.private_key, IDLE_TIMEOUT
+        ),
+        reset_key=derive_reset_key(link_keys),
+        transmit=role.transmit,
+        receive_event=role.receive_event,
+        end_flow=role.end_flow,
+    )
+    role.subscriber = build_subscriber(
+        settings.name, settings.control, link_keys, report, role.apply
+    )
+    role.subscriber.announce(target=target)
+    supervisor.supervise('sealed', partial(sealed.serve, role.receive_sealed))
+    supervisor.supervise('requests', role.requests.run)
+    supervisor.supervise('keepalive', role.keep_alive)
+    supervisor.supervise('subscriber', role.subscriber.run)
+    return role
+
+
+def derive_reset_key(link_keys: LinkKeys) -> bytes:
+    """Return the key of stateless resets, equal at every agent."""
+    keyed = hashlib.blake2b(key=link_keys.current, person=b'reset tokens')
+    return keyed.digest()
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/target.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/target.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -33,6 +34,18 @@
 #: Longest wait for a TCP connection to the target, in seconds.
 CONNECT_TIMEOUT = 2.0
 
+#: Silence after which a connection is probed, in seconds.
+KEEPALIVE_IDLE = 5
+
+#: Time between two probes, in seconds.
+KEEPALIVE_INTERVAL = 2
+
+#: Unanswered probes after which a connection counts as lost.
+KEEPALIVE_PROBES = 3
+
+#: Longest time that sent data stays unacknowledged, in milliseconds.
+USER_TIMEOUT_MS = 11_000
+
 #: Largest body in either direction, in bytes.
 BODY_MAX = 1 << 40
 
@@ -139,9 +152,22 @@
         reason = str(error) or 'no connection'
         return Failed(Failure('connect to target', str(address), reason))
     stream.set_nodelay(True)
+    _set_keepalive(stream)
     return Success(stream)
 
 
+def _set_keepalive(stream: IOStream) -> None:
+    opened: socket.socket = stream.socket
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    ):
+        opened.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 async def _converse(
     stream: IOStream, request: TargetRequest, receiver: Receiver, peer: str
 ) -> Result[None, TargetFailure]:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/main.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/main.py
@@ -2,6 +2,42 @@
 
 from __future__ import annotations
 
+import asyncio
+from pathlib import Path
+import sys
+
+import cyclopts
+from returns.result import Failure as Failed
+
+from .composition import run_daemon
+from .composition import STATUS_BAD_SETTINGS
+from .settings import read_settings
+
+app = cyclopts.App(
+    name='pistachiohookd', help='Run one role of the load balancer.'
+)
+
+
+@app.default
+def run(*, settings: Path) -> int:
+    """Run the role that the settings name.
+
+    :param settings: TOML file, documented in docs/settings.md
+    :returns: 0 after a graceful shutdown, 1 when the role could not go on,
+        2 when the settings are bad and nothing was started
+    """
+    found = read_settings(settings)
+    if isinstance(found, Failed):
+        for failure in found.failure():
+            print(failure, file=sys.stderr)
+        return STATUS_BAD_SETTINGS
+    return asyncio.run(run_daemon(found.unwrap()))
+
 
 def main() -> None:
-    """Run the role that the settings name."""
+    """Run the command line and exit with its status."""
+    sys.exit(app())
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/subscriber.py
@@ -0,0 +1,163 @@
+"""The task that keeps a node subscribed to control."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+from pistachiohook_core.events import MESSAGE_UNREADABLE
+from pistachiohook_core.membership.subscription import Announced
+from pistachiohook_core.membership.subscription import Apply
+from pistachiohook_core.membership.subscription import Condition
+from pistachiohook_core.membership.subscription import Connect
+from pistachiohook_core.membership.subscription import Received
+from pistachiohook_core.membership.subscription import Report
+from pistachiohook_core.membership.subscription import Send
+from pistachiohook_core.membership.subscription import Stopped
+from pistachiohook_core.membership.subscription import Subscription
+from pistachiohook_core.membership.subscription import SubscriptionAction
+from pistachiohook_core.membership.subscription import SubscriptionEvent
+from pistachiohook_core.membership.subscription import Tick
+from pistachiohook_core.subscription_messages import SUBSCRIPTION_CODEC
+from pistachiohook_core.subscription_messages import Update
+
+from .links import LinkClient
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pistachiohook_core.addresses import Address
+    from pistachiohook_core.published import Balancer
+    from pistachiohook_core.published import Published
+    from pistachiohook_core.published import Target
+
+    from .keys import LinkKeys
+    from .logs import Report as ReportEvent
+
+#: Time between two looks at the clock, in seconds.
+TICK_INTERVAL = 0.2
+
+
+@attrs.define
+class Subscriber:
+    """State of a node's connection to control.
+
+    :param subscription: decides what is sent and applied
+    :param keys: keys of the links
+    :param report: logs an event
+    :param apply: puts what is published in force
+    """
+
+    subscription: Subscription
+    keys: LinkKeys
+    report: ReportEvent
+    apply: Callable[[Published], None]
+    _client: LinkClient | None = None
+    _reader: asyncio.Task[None] | None = None
+    _mailbox: asyncio.Queue[SubscriptionEvent] = attrs.field(
+        factory=asyncio.Queue
+    )
+
+    async def run(self) -> None:
+        """Keep the subscription going until cancelled."""
+        try:
+            while True:
+                self._handle(await self._wait_for_event())
+        finally:
+            self._disconnect()
+
+    def announce(
+        self, target: Target | None = None, balancer: Balancer | None = None
+    ) -> None:
+        """Announce what this node is now, at once."""
+        self._mailbox.put_nowait(Announced(target, balancer))
+
+    def leave(self) -> None:
+        """Give the lease back."""
+        self._handle(Stopped())
+
+    def is_current(self) -> bool:
+        """Say whether the node may serve."""
+        return self.subscription.current
+
+    def find_condition(self) -> Condition:
+        """Return what is known of the age of the published state."""
+        return self.subscription.find_condition(time.monotonic())
+
+    async def _wait_for_event(self) -> SubscriptionEvent:
+        try:
+            async with asyncio.timeout(TICK_INTERVAL):
+                return await self._mailbox.get()
+        except TimeoutError:
+            return Tick()
+
+    def _handle(self, event: SubscriptionEvent) -> None:
+        for action in self.subscription.handle(event, time.monotonic()):
+            self._perform(action)
+
+    def _perform(self, action: SubscriptionAction) -> None:
+        if isinstance(action, Connect):
+            self._connect(action.instance)
+        elif isinstance(action, Send):
+            if self._client is not None:
+                self._client.send(action.message)
+        elif isinstance(action, Apply):
+            self.apply(action.published)
+        elif isinstance(action, Report):
+            self.report(action.event, peer=str(action.instance))
+
+    def _connect(self, instance: Address) -> None:
+        self._disconnect()
+        self._client = LinkClient(
+            self.subscription.node,
+            instance,
+            SUBSCRIPTION_CODEC,
+            self.keys,
+            self.report,
+        )
+        self._client.dial()
+        self._reader = asyncio.create_task(self._read(instance, self._client))
+
+    async def _read(self, instance: Address, client: LinkClient) -> None:
+        while True:
+            message = await client.receive()
+            if isinstance(message, Update):
+                self._mailbox.put_nowait(Received(instance, message))
+            else:
+                step = 'receive update'
+                self.report(MESSAGE_UNREADABLE, step=step, peer=str(instance))
+
+    def _disconnect(self) -> None:
+        if self._reader is not None:
+            self._reader.cancel()
+        if self._client is not None:
+            self._client.close()
+        self._client = None
+        self._reader = None
+
+
+def build_subscriber(
+    node: str,
+    instances: tuple[Address, ...],
+    keys: LinkKeys,
+    report: ReportEvent,
+    apply: Callable[[Published], None],
+) -> Subscriber:
+    """Return a subscriber with an incarnation of its own.
+
+    :param node: name of the instance
+    :param instances: every control instance
+    :param keys: keys of the links
+    :param report: logs an event
+    :param apply: puts what is published in force
+    """
+    subscription = Subscription(
+        node=node,
+        incarnation=time.time_ns(),
+        instances=instances,
+        random=random.Random(),
+    )
+    return Subscriber(subscription, keys, report, apply)
