Mend the link handshake and bodies of requests without a length

A dialer may say hello twice before the welcome; the listener then opened two sessions and dropped what was sealed for the first. It now repeats its welcome. A GET whose stream is ended by an empty frame was announced to the target as chunked, but the library frames no chunks for GET, so the target waited for ever: a feed timed out after 20 s. Such a request now goes without a body.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/target.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/target.py
@@ -49,6 +49,9 @@
 #: Largest body in either direction, in bytes.
 BODY_MAX = 1 << 40
 
+#: Methods whose body needs no length; the library then sends it in chunks.
+BODY_METHODS = frozenset({'POST', 'PUT', 'PATCH'})
+
 #: Header fields that belong to one connection only (RFC 9110, 7.6.1).
 HOP_BY_HOP = frozenset(
     {
@@ -212,12 +215,10 @@
     for header in request.headers:
         if header.name not in HOP_BY_HOP:
             headers.add(header.name, header.value)
-    chunked = request.body is not None and 'Content-Length' not in headers
-    if chunked:
-        headers['Transfer-Encoding'] = 'chunked'
     start = RequestStartLine(request.method, request.path, 'HTTP/1.1')
     await connection.write_headers(start, headers)
-    if request.body is not None:
+    framed = 'Content-Length' in headers or request.method in BODY_METHODS
+    if request.body is not None and framed:
         async for chunk in request.body:
             await connection.write(chunk)
     connection.finish()
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/links.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/links.py
@@ -169,12 +169,15 @@
         name = frame[1 + NONCE_LENGTH :]
         if len(theirs) < NONCE_LENGTH or len(name) > NAME_MAX:
             return
-        ours = secrets.token_bytes(NONCE_LENGTH)
-        sender = name.decode('utf-8', 'replace')
-        self._forget_closed()
-        self._pipes[pipe.id] = pipe
-        self._sessions[pipe.id] = _Session(theirs + ours, sender)
-        self._send_raw(pipe, _WELCOME + ours)
+        known = self._sessions.get(pipe.id)
+        if known is None or known.nonces[:NONCE_LENGTH] != theirs:
+            sender = name.decode('utf-8', 'replace')
+            ours = secrets.token_bytes(NONCE_LENGTH)
+            known = _Session(theirs + ours, sender)
+            self._forget_closed()
+            self._pipes[pipe.id] = pipe
+            self._sessions[pipe.id] = known
+        self._send_raw(pipe, _WELCOME + known.nonces[NONCE_LENGTH:])
 
     def _forget_closed(self) -> None:
         open_ids = {pipe.id for pipe in self._socket.pipes}
@@ -249,6 +252,7 @@
         kind = frame[:1]
         if kind == _AGAIN:
             self._session = None
+            self._nonce = b''
             self._say_hello()
             return None
         if kind == _WELCOME:
@@ -264,7 +268,10 @@
         return self.codec.decode(body, str(self.address)).value_or(None)
 
     def _start_session(self, theirs: bytes) -> None:
-        self._session = _Session(self._nonce + theirs, str(self.address))
+        nonces = self._nonce + theirs
+        if self._session is not None and self._session.nonces == nonces:
+            return
+        self._session = _Session(nonces, str(self.address))
         waiting, self._waiting = self._waiting, []
         for message in waiting:
             self.send(message)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/subscriber.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/subscriber.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
 from typing import TYPE_CHECKING
@@ -23,6 +24,7 @@
 from pistachiohook_core.membership.subscription import Tick
 from pistachiohook_core.subscription_messages import SUBSCRIPTION_CODEC
 from pistachiohook_core.subscription_messages import Update
+import pynng
 
 from .links import LinkClient
 
@@ -122,6 +124,12 @@
         self._reader = asyncio.create_task(self._read(instance, self._client))
 
     async def _read(self, instance: Address, client: LinkClient) -> None:
+        with contextlib.suppress(pynng.Closed):
+            await self._read_until_closed(instance, client)
+
+    async def _read_until_closed(
+        self, instance: Address, client: LinkClient
+    ) -> None:
         while True:
             message = await client.receive()
             if isinstance(message, Update):
