--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -59,6 +59,28 @@
 BALANCER_FRESH = Event(
     2002, Level.INFO, 'The published state is fresh; the balancer serves.'
 )
+REPLICA_STARTED = Event(4001, Level.INFO, 'The replica is started.')
+JOURNAL_FOUNDED = Event(
+    4002,
+    Level.WARNING,
+    'The data folder was empty; the instance has a new identity.',
+    'Expected at the first start. Else the disk was lost: see the page on '
+    'disk loss.',
+)
+JOURNAL_FAILED = Event(
+    4003,
+    Level.ERROR,
+    'The journal could not be read or written; the replica stops.',
+    'Free or replace the disk, then start the process again; a damaged '
+    'journal is moved away first.',
+)
+LEADER_CHANGED = Event(4004, Level.INFO, 'The known leader has changed.')
+REPLICA_RETIRED = Event(
+    4005,
+    Level.ERROR,
+    'The identity of this data folder was replaced and is not let in again.',
+    'Move the data folder away and start the process again.',
+)
 CONTROL_CHANGE_ACCEPTED = Event(
     4051, Level.INFO, 'A change of the configuration was accepted.'
 )
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control role: configuration and membership, replicated."""
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/disk.py
@@ -0,0 +1,119 @@
+"""File operations on the data folder of a control instance."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+from pathlib import Path
+
+import attrs
+from pistachiohook_core.storage.files import FileOperations
+
+#: File whose lock keeps a second process out of a data folder.
+LOCK = 'lock'
+
+
+@attrs.define
+class DataFolder:
+    """An open data folder, locked against other processes.
+
+    A file stays open from its first write on, so that a failed write-back
+    is reported to the descriptor that wrote.
+
+    :param path: the folder
+    """
+
+    path: Path
+    _descriptors: dict[str, int] = attrs.field(factory=dict)
+
+    @property
+    def files(self) -> FileOperations:
+        """Operations on the files of this folder."""
+        return FileOperations(
+            read=self._read,
+            write=self._write,
+            append=self._append,
+            truncate=self._truncate,
+            sync=self._sync,
+            rename=self._rename,
+            sync_folder=self._sync_folder,
+        )
+
+    def lock(self) -> None:
+        """Keep other processes out.
+
+        :raises OSError: when another process is in
+        """
+        fcntl.flock(self._find(LOCK), fcntl.LOCK_EX | fcntl.LOCK_NB)
+
+    def close(self) -> None:
+        """Close the files and give the lock back."""
+        while self._descriptors:
+            os.close(self._descriptors.popitem()[1])
+
+    def _read(self, name: str) -> bytes | None:
+        try:
+            return (self.path / name).read_bytes()
+        except FileNotFoundError:
+            return None
+
+    def _write(self, name: str, data: bytes) -> None:
+        os.ftruncate(self._find(name), 0)
+        _write_all(self._find(name), data)
+
+    def _append(self, name: str, data: bytes) -> None:
+        _write_all(self._find(name), data)
+
+    def _truncate(self, name: str, length: int) -> None:
+        os.ftruncate(self._find(name), length)
+
+    def _sync(self, name: str) -> None:
+        os.fsync(self._find(name))
+
+    def _rename(self, old: str, new: str) -> None:
+        descriptor = self._find(old)
+        (self.path / old).rename(self.path / new)
+        replaced = self._descriptors.pop(new, None)
+        if replaced is not None:
+            os.close(replaced)
+        self._descriptors[new] = descriptor
+        del self._descriptors[old]
+
+    def _sync_folder(self) -> None:
+        _sync_path(self.path)
+
+    def _find(self, name: str) -> int:
+        if name not in self._descriptors:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            self._descriptors[name] = os.open(self.path / name, flags, 0o600)
+        return self._descriptors[name]
+
+
+def open_data_folder(path: Path) -> DataFolder:
+    """Open a data folder, and make it when there is none.
+
+    :raises OSError: when it cannot be made, or another process has it
+    """
+    path.mkdir(parents=True, exist_ok=True)
+    _sync_path(path.parent)
+    folder = DataFolder(path)
+    try:
+        folder.lock()
+    except OSError:
+        folder.close()
+        raise
+    return folder
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    rest = memoryview(data)
+    while rest:
+        rest = rest[os.write(descriptor, rest) :]
+
+
+def _sync_path(path: Path) -> None:
+    descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/tests/daemon/replicator/steps/replicator_steps.py
@@ -0,0 +1,372 @@
+"""Steps on replicators over real folders and short-cut links."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import count
+from pathlib import Path
+import shutil
+import tempfile
+
+import attrs
+from behave import given
+from behave import then
+from behave import when
+import msgspec
+from pistachiohook_core.consensus.entries import name_instance
+from pistachiohook_core.consensus.messages import CONSENSUS_CODEC
+from pistachiohook_core.consensus.replica import Timing
+from pistachiohook_core.storage.journal import Journal
+from pistachiohook_core.storage.journal import load_journal
+from pistachiohook_daemon.control.disk import open_data_folder
+from pistachiohook_daemon.control.replicator import NOT_LEADER
+from pistachiohook_daemon.control.replicator import REFUSED
+from pistachiohook_daemon.control.replicator import ReplicaStoppedError
+from pistachiohook_daemon.control.replicator import Replicator
+from pistachiohook_daemon.control.replicator import StateMachine
+from pistachiohook_daemon.control.replicator import UNKNOWN_OUTCOME
+from returns.result import Failure as Failed
+from returns.result import Success
+
+#: Longest wait for a condition that must come true, in seconds.
+PATIENCE = 30.0
+
+TIMING = Timing(heartbeat=0.05, election_min=0.4, election_max=0.8)
+
+
+@attrs.define(eq=False)
+class Running:
+    """A replicator, what it has applied, and its task."""
+
+    folder: object
+    replicator: Replicator = None
+    commands: list[bytes] = attrs.field(factory=list)
+    task: object = None
+
+    def apply(self, index, command):
+        self.commands.append(command)
+        return index, command
+
+    def restore(self, state):
+        self.commands[:] = msgspec.msgpack.decode(state, type=list[bytes])
+
+
+@given('{size:d} replicators that all vote')
+def start(context, size):
+    context.loop = asyncio.new_event_loop()
+    context.root = Path(tempfile.mkdtemp())
+    context.names = 'abcde'[:size]
+    context.running = {}
+    context.cut = set()
+    context.births = count(1)
+    context.proposed = []
+    context.add_cleanup(shutil.rmtree, context.root)
+    context.add_cleanup(context.loop.close)
+    context.add_cleanup(stop_all, context)
+    call(context, start_all(context))
+    wait(context, lambda: is_whole(context))
+
+
+def is_whole(context):
+    """Tell whether all vote and know their leader."""
+    replicas = [one.replicator._replica for one in context.running.values()]
+    return all(
+        replica is not None
+        and len(replica.membership.voters) == len(context.names)
+        and replica.leader
+        and replica.identity in replica.membership.voters
+        for replica in replicas
+    )
+
+
+def call(context, coroutine):
+    return context.loop.run_until_complete(
+        asyncio.wait_for(coroutine, PATIENCE)
+    )
+
+
+def wait(context, condition):
+    async def poll():
+        while not condition():
+            await asyncio.sleep(0.01)
+
+    call(context, poll())
+
+
+async def start_all(context):
+    for name in context.names:
+        start_one(context, name)
+
+
+def start_one(context, name):
+    running = Running(open_data_folder(context.root / name))
+    running.replicator = Replicator(
+        name=name,
+        addresses={each: f'{each}:1' for each in context.names},
+        files=running.folder.files,
+        machine=StateMachine(
+            running.apply,
+            running.restore,
+            lambda: msgspec.msgpack.encode(running.commands),
+        ),
+        send=lambda peer, message: carry(context, name, peer, message),
+        report=lambda _, **__: None,
+        birth=str(next(context.births)),
+        seed=ord(name),
+        timing=TIMING,
+    )
+    running.task = asyncio.ensure_future(running.replicator.run())
+    context.running[name] = running
+
+
+def carry(context, source, target, message):
+    if target in context.running and not context.cut & {source, target}:
+        data = CONSENSUS_CODEC.encode(message)
+        received = CONSENSUS_CODEC.decode(data, source).unwrap()
+        context.running[target].replicator.receive(received)
+
+
+async def stop(context, name):
+    running = context.running.pop(name)
+    running.task.cancel()
+    await asyncio.gather(running.task, return_exceptions=True)
+    running.folder.close()
+
+
+def stop_all(context):
+    for name in tuple(context.running):
+        call(context, stop(context, name))
+
+
+def find_leader(context, among=None):
+    """Wait for the one leader that the others know."""
+
+    def find():
+        return [
+            name
+            for name, one in context.running.items()
+            if one.replicator.is_leader and (among is None or name in among)
+        ]
+
+    wait(context, find)
+    return find()[0]
+
+
+async def propose(context, name, commands):
+    replicator = context.running[name].replicator
+    return await asyncio.gather(*map(replicator.propose, commands))
+
+
+@when('{number:d} commands are proposed to the leader at once')
+def propose_many(context, number):
+    leader = find_leader(context)
+    context.proposed = [b'%d' % each for each in range(number)]
+    proposing = propose(context, leader, context.proposed)
+    context.results = call(context, proposing)
+    assert all(isinstance(one, Success) for one in context.results)
+
+
+@then('all are accepted, each with the outcome of its index')
+def check_outcomes(context):
+    outcomes = [result.unwrap() for result in context.results]
+    assert [command for _, command in outcomes] == context.proposed
+    indexes = [index for index, _ in outcomes]
+    assert indexes == sorted(set(indexes))
+
+
+@then('a read barrier on every instance shows them')
+def check_reads(context):
+    for name, running in context.running.items():
+        call(context, read(running.replicator))
+        held = running.commands[: len(context.proposed)]
+        assert held == context.proposed, name
+
+
+async def read(replicator):
+    while True:
+        result = await replicator.read_barrier()
+        if isinstance(result, Success):
+            return result.unwrap()
+        await asyncio.sleep(0.02)
+
+
+@when('all replicators are stopped and started')
+def restart(context):
+    stop_all(context)
+    call(context, start_all(context))
+
+
+@when('the leader is stopped')
+def stop_leader(context):
+    call(context, stop(context, find_leader(context)))
+
+
+@then('a further command is accepted')
+def check_further(context):
+    propose_further(context, None)
+
+
+@then('a further command is accepted by the others')
+def check_others(context):
+    propose_further(context, set(context.names) - context.cut)
+
+
+def propose_further(context, among):
+    async def attempt():
+        leaders = [
+            one.replicator
+            for name, one in context.running.items()
+            if one.replicator.is_leader and (among is None or name in among)
+        ]
+        for leader in leaders:
+            if isinstance(await leader.propose(b'further'), Success):
+                return True
+        await asyncio.sleep(0.02)
+        return False
+
+    async def insist():
+        while not await attempt():
+            pass
+
+    call(context, insist())
+
+
+@then('a command proposed to a follower is not taken and names the leader')
+def check_follower(context):
+    leader = find_leader(context)
+    follower = next(name for name in context.names if name != leader)
+    [result] = call(context, propose(context, follower, [b'x']))
+    assert result.failure().reason == NOT_LEADER
+    assert result.failure().peer == f'{leader}:1'
+
+
+@when('the leader is cut off from the others')
+def cut_leader(context):
+    context.cut = {find_leader(context)}
+
+
+@then('a command proposed to it has an unknown outcome or is not taken')
+def check_cut(context):
+    [result] = call(context, propose(context, *context.cut, [b'x']))
+    assert result.failure().reason in (UNKNOWN_OUTCOME, NOT_LEADER)
+
+
+@then('its read barrier fails')
+def check_barrier(context):
+    [name] = context.cut
+    barrier = context.running[name].replicator.read_barrier()
+    assert isinstance(call(context, barrier), Failed)
+
+
+@then('its freshness passes 1 second')
+def check_age(context):
+    [name] = context.cut
+    one = context.running[name].replicator
+    wait(context, lambda: one.freshness(one.clock()) > 1.0)
+
+
+@when('its disk suffers {fault}')
+def break_disk(context, fault):
+    def fail(*_):
+        raise OSError('injected failure')
+
+    step = {'a full disk': 'append', 'a failed fsync': 'sync'}[fault]
+    files = context.running['a'].replicator.files
+    broken = attrs.evolve(files, **{step: fail})
+    context.running['a'].replicator._journal.files = broken
+
+
+@then('a command has an unknown outcome')
+def check_unknown(context):
+    [result] = call(context, propose(context, 'a', [b'x']))
+    assert result.failure().reason == UNKNOWN_OUTCOME
+
+
+@then('the task has ended and does not run again')
+def check_ended(context):
+    for attempt in (
+        context.running['a'].task,
+        context.running['a'].replicator.run(),
+    ):
+        try:
+            call(context, attempt)
+        except ReplicaStoppedError:
+            continue
+        raise AssertionError('the task runs on')
+
+
+@then('a further command is refused')
+def check_refused(context):
+    [result] = call(context, propose(context, 'a', [b'x']))
+    assert result.failure().reason == REFUSED
+
+
+@then('a restart with a good disk holds all that was accepted')
+def check_restart(context):
+    restart(context)
+    check_further(context)
+    check_reads(context)
+
+
+@then('every journal holds fewer than {number:d} entries')
+def check_journals(context, number):
+    for running in context.running.values():
+        call(context, read(running.replicator))
+    for running in context.running.values():
+        replica = running.replicator._replica
+        wait(
+            context,
+            lambda replica=replica: len(replica.log.entries) < number,
+        )
+        saved = load_journal(Journal(running.folder.files)).unwrap()
+        assert saved.snapshot.index > 0
+        assert len(saved.entries) < number
+
+
+@when('a follower loses its data folder')
+def lose_folder(context):
+    leader = find_leader(context)
+    name = next(each for each in context.names if each != leader)
+    context.lost = name
+    context.old = context.running[name].replicator._replica.identity
+    call(context, stop(context, name))
+    shutil.rmtree(context.root / name)
+
+    async def begin():
+        start_one(context, name)
+
+    call(context, begin())
+
+
+@then('it holds all commands again and votes under a new identity')
+def check_new(context):
+    running = context.running[context.lost]
+
+    def is_back():
+        replica = running.replicator._replica
+        return replica is not None and replica.is_voter
+
+    wait(context, is_back)
+    identity = running.replicator._replica.identity
+    assert identity != context.old
+    assert name_instance(identity) == context.lost
+    check_reads(context)
+
+
+@when('its journal is damaged and it is started')
+def damage(context):
+    stop_all(context)
+    path = context.root / 'a' / 'journal'
+    content = bytearray(path.read_bytes())
+    content[len(content) // 2] ^= 1
+    path.write_bytes(bytes(content))
+    call(context, start_all(context))
+
+
+@then("its data folder can't be opened a second time")
+def check_lock(context):
+    try:
+        open_data_folder(context.root / 'a')
+    except OSError:
+        return
+    raise AssertionError('opened a second time')
