Add the control role: subscriptions, leases, administration API

The holder decides, the tasks own the sockets. Lease expiry is proposed with the instance that kept the lease, so that a node which moved to another control instance is not withdrawn. Not yet run under the daemon.

--- a/packages/pistachiohook-core/src/pistachiohook_core/configuration/state.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/configuration/state.py
@@ -199,6 +199,14 @@
     return None if record is None else _decode_outcome(record)
 
 
+def find_note(state: State, revision: int) -> ChangeNote | None:
+    """Return the change that was accepted at a revision, if still kept."""
+    notes = (record.note for record in reversed(state.records.values()))
+    return next(
+        (note for note in notes if note and note.revision == revision), None
+    )
+
+
 def _sort_values(items: dict[str, _Item]) -> tuple[_Item, ...]:
     return tuple(item for _, item in sorted(items.items()))
 
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control role."""
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/administration.py
@@ -0,0 +1,296 @@
+"""What the administration API answers, apart from HTTP."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import attrs
+from pistachiohook_core.configuration.check import check_objects
+from pistachiohook_core.configuration.commands import Accepted
+from pistachiohook_core.configuration.commands import Change
+from pistachiohook_core.configuration.commands import ChangeIdReused
+from pistachiohook_core.configuration.commands import Command
+from pistachiohook_core.configuration.commands import Conflict
+from pistachiohook_core.configuration.commands import Drain
+from pistachiohook_core.configuration.commands import Drained
+from pistachiohook_core.configuration.commands import Outcome
+from pistachiohook_core.configuration.commands import OUTCOME_CODEC
+from pistachiohook_core.configuration.commands import TargetUnknown
+from pistachiohook_core.configuration.documents import AcceptedDocument
+from pistachiohook_core.configuration.documents import CHANGE_ID_MAX
+from pistachiohook_core.configuration.documents import ChangeRequest
+from pistachiohook_core.configuration.documents import CheckDocument
+from pistachiohook_core.configuration.documents import CheckRequest
+from pistachiohook_core.configuration.documents import ConfigurationDocument
+from pistachiohook_core.configuration.documents import DrainedDocument
+from pistachiohook_core.configuration.documents import DrainRequest
+from pistachiohook_core.configuration.documents import make_problem
+from pistachiohook_core.configuration.documents import MemberRow
+from pistachiohook_core.configuration.documents import MembersDocument
+from pistachiohook_core.configuration.documents import Problem
+from pistachiohook_core.configuration.documents import ProblemName
+from pistachiohook_core.configuration.documents import Source
+from pistachiohook_core.configuration.documents import StatusDocument
+from pistachiohook_core.configuration.documents import TargetRow
+from pistachiohook_core.configuration.documents import TargetsDocument
+from pistachiohook_core.configuration.state import find_note
+from pistachiohook_core.configuration.state import find_record
+from pistachiohook_core.membership.members import Progress
+from pistachiohook_core.membership.rollout import measure_rollout
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+from .machine import encode_command
+
+if TYPE_CHECKING:
+    from pistachiohook_core.configuration.objects import ObjectSet
+    from pistachiohook_core.configuration.objects import RawObject
+    from pistachiohook_core.configuration.state import State
+    from pistachiohook_core.failures import Failure
+
+    from ..settings import MemberSettings
+    from .machine import ControlMachine
+    from .replication import Replicator
+
+_Document = TypeVar('_Document')
+
+
+@attrs.define
+class Administration:
+    """State of the administration API of one control instance.
+
+    :param instance: name of the control instance
+    :param members: control instances that the settings name
+    :param machine: the replicated state machine
+    :param replicator: writes and reads linearizably
+    """
+
+    instance: str
+    members: tuple[MemberSettings, ...]
+    machine: ControlMachine
+    replicator: Replicator
+
+    async def read_source(self, *, stale: bool) -> Result[Source, Problem]:
+        """Make the applied state current, before it is read.
+
+        :param stale: whether an answer that may be old is wanted too
+        """
+        barrier = await self.replicator.read_barrier()
+        linearized = isinstance(barrier, Success)
+        if not linearized and not stale:
+            return Failed(
+                _describe_failure(ProblemName.NO_QUORUM, barrier.failure())
+            )
+        freshness = self.replicator.freshness(time.monotonic())
+        return Success(Source(self.instance, linearized, freshness))
+
+    def show(self, source: Source) -> ConfigurationDocument:
+        """Return the configuration."""
+        state = self._state
+        return ConfigurationDocument(
+            revision=state.configuration,
+            objects=state.objects,
+            numbers=state.numbers,
+            change=find_note(state, state.configuration),
+            source=source,
+        )
+
+    def show_status(
+        self, revision: int | None, source: Source
+    ) -> StatusDocument:
+        """Return how far a revision is in force.
+
+        :param revision: published revision; the newest when left out
+        :param source: what stands behind the answer
+        """
+        state = self._state
+        asked = state.revision if revision is None else revision
+        return StatusDocument(
+            configuration=state.configuration,
+            published=state.revision,
+            rollout=measure_rollout(state, asked),
+            source=source,
+        )
+
+    def show_targets(self, source: Source) -> TargetsDocument:
+        """Return every announced target."""
+        state = self._state
+        announced = (
+            (member, member.announcement.target)
+            for _, member in sorted(state.members.items())
+        )
+        rows = tuple(
+            TargetRow(
+                target=state.targets.get(target.name, target),
+                node=member.node,
+                holder=member.holder,
+                published=target.name in state.targets,
+            )
+            for member, target in announced
+            if target is not None
+        )
+        return TargetsDocument(rows, source)
+
+    def show_members(self, source: Source) -> MembersDocument:
+        """Return the control instances."""
+        state = self._state
+        holders = [member.holder for member in state.members.values()]
+        rows = []
+        for member in self.members:
+            progress = state.progress.get(member.name, Progress())
+            row = MemberRow(
+                name=member.name,
+                api=str(member.api),
+                leader=self.replicator.leader == member.name,
+                nodes=holders.count(member.name),
+                revision=progress.revision,
+                behind=progress.behind,
+            )
+            rows.append(row)
+        return MembersDocument(tuple(rows), source)
+
+    def find_change(self, change_id: str) -> Result[Any, Problem]:
+        """Return the first outcome of a change."""
+        outcome = find_record(self._state, change_id)
+        if outcome is None:
+            detail = f'no outcome of change {change_id!r} is kept'
+            return Failed(make_problem(ProblemName.NOT_FOUND, detail))
+        return _answer_change(outcome, change_id)
+
+    def check(self, request: CheckRequest) -> Result[CheckDocument, Problem]:
+        """Check a set; nothing is written."""
+        return _check(request.objects).map(
+            lambda objects: CheckDocument(
+                len(objects.services),
+                len(objects.places),
+                len(objects.policies),
+            )
+        )
+
+    async def change(
+        self, request: ChangeRequest, author: str
+    ) -> Result[AcceptedDocument, Problem]:
+        """Check and propose a change.
+
+        :param request: the change
+        :param author: who asks for it
+        """
+        fits = 0 < len(request.change_id) <= CHANGE_ID_MAX
+        if not fits or not request.change_id.isprintable():
+            detail = f'change_id: expected 1 to {CHANGE_ID_MAX} characters'
+            return Failed(make_problem(ProblemName.BAD_REQUEST, detail))
+        checked = _check(request.objects)
+        if isinstance(checked, Failed):
+            return Failed(checked.failure())
+        command = Change(
+            change_id=request.change_id,
+            base=request.revision,
+            objects=checked.unwrap(),
+            author=author,
+            time=time.time(),
+        )
+        outcome = await self._propose(command, request.change_id)
+        return outcome.bind(
+            lambda found: _answer_change(found, request.change_id)
+        )
+
+    async def drain(
+        self, target: str, request: DrainRequest
+    ) -> Result[DrainedDocument, Problem]:
+        """Take a target out for new work.
+
+        :param target: name of the target
+        :param request: which start of its agent is meant
+        """
+        command = Drain(target, request.incarnation, time.time())
+        outcome = await self._propose(command)
+        return outcome.bind(_answer_drain)
+
+    @property
+    def _state(self) -> State:
+        return self.machine.state
+
+    async def _propose(
+        self, command: Command, change_id: str = ''
+    ) -> Result[Outcome, Problem]:
+        result = await self.replicator.propose(encode_command(command))
+        if isinstance(result, Failed):
+            problem = _describe_failure(
+                ProblemName.UNKNOWN_OUTCOME, result.failure()
+            )
+            return Failed(attrs.evolve(problem, change_id=change_id))
+        decoded = OUTCOME_CODEC.decode(result.unwrap(), 'replicator')
+        return decoded.alt(
+            lambda failure: _describe_failure(ProblemName.INTERNAL, failure)
+        )
+
+
+def _check(objects: tuple[RawObject, ...]) -> Result[ObjectSet, Problem]:
+    return check_objects(objects).alt(
+        lambda errors: make_problem(
+            ProblemName.BAD_SET,
+            f'the set has {len(errors)} faults; nothing is changed',
+            step='check objects',
+            errors=errors,
+        )
+    )
+
+
+def _describe_failure(name: ProblemName, failure: Failure) -> Problem:
+    return make_problem(
+        name, failure.reason, step=failure.step, peer=failure.peer
+    )
+
+
+def _answer_change(
+    outcome: Outcome, change_id: str
+) -> Result[AcceptedDocument, Problem]:
+    if isinstance(outcome, Accepted):
+        return Success(AcceptedDocument(outcome.revision, change_id))
+    if isinstance(outcome, Conflict):
+        detail = (
+            f'made against revision {outcome.base}, but the configuration '
+            f'is at revision {outcome.revision}'
+        )
+        return Failed(
+            make_problem(
+                ProblemName.CONFLICT,
+                detail,
+                step='apply change',
+                conflict=outcome,
+                change_id=change_id,
+            )
+        )
+    if isinstance(outcome, ChangeIdReused):
+        detail = f'change id {change_id!r} names a change with other objects'
+        return Failed(
+            make_problem(
+                ProblemName.CHANGE_ID_REUSED, detail, change_id=change_id
+            )
+        )
+    return Failed(make_problem(ProblemName.INTERNAL, str(outcome)))
+
+
+def _answer_drain(outcome: Outcome) -> Result[DrainedDocument, Problem]:
+    if isinstance(outcome, Drained):
+        return Success(DrainedDocument(outcome.target, outcome.revision))
+    if isinstance(outcome, TargetUnknown):
+        detail = (
+            f'target {outcome.target!r} has started again; its incarnation '
+            f'is {outcome.incarnation}'
+            if outcome.incarnation
+            else f'no target {outcome.target!r} is published'
+        )
+        return Failed(
+            make_problem(
+                ProblemName.NOT_FOUND,
+                detail,
+                step='drain target',
+                peer=outcome.target,
+            )
+        )
+    return Failed(make_problem(ProblemName.INTERNAL, str(outcome)))
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/api.py
@@ -0,0 +1,239 @@
+"""The administration API over HTTP."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from pistachiohook_core.configuration.documents import ChangeRequest
+from pistachiohook_core.configuration.documents import CheckRequest
+from pistachiohook_core.configuration.documents import decode_document
+from pistachiohook_core.configuration.documents import DrainRequest
+from pistachiohook_core.configuration.documents import encode_document
+from pistachiohook_core.configuration.documents import make_problem
+from pistachiohook_core.configuration.documents import Problem
+from pistachiohook_core.configuration.documents import ProblemName
+from pistachiohook_core.configuration.documents import Source
+from pistachiohook_core.events import CONTROL_TOKEN_REFUSED
+from returns.result import Failure as Failed
+from returns.result import Result
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+from .tokens import find_bearer
+from .tokens import Role
+
+if TYPE_CHECKING:
+    from pistachiohook_core.addresses import Address
+
+    from ..logs import Report
+    from .administration import Administration
+    from .tokens import Token
+
+_Document = TypeVar('_Document')
+
+#: Largest body of a request, in bytes; room for 50,000 addresses.
+BODY_MAX = 64 * 1024 * 1024
+
+
+class _ProblemError(Exception):
+    """Ends a request with a problem."""
+
+    def __init__(self, problem: Problem) -> None:
+        super().__init__(problem.detail)
+        self.problem = problem
+
+
+class _Handler(RequestHandler):
+    """Checks the token, and answers in JSON."""
+
+    def initialize(
+        self,
+        administration: Administration,
+        tokens: tuple[Token, ...],
+        report: Report,
+    ) -> None:
+        self.administration = administration
+        self.tokens = tokens
+        self.report = report
+
+    def prepare(self) -> None:
+        header = self.request.headers.get('Authorization')
+        bearer = find_bearer(self.tokens, header)
+        if bearer is None:
+            self._report_refusal('no valid bearer token')
+            detail = 'expected the header "Authorization: Bearer TOKEN"'
+            raise _ProblemError(make_problem(ProblemName.UNAUTHORIZED, detail))
+        self.bearer = bearer
+
+    def require_operator(self) -> None:
+        """Refuse a bearer that may only read."""
+        if self.bearer.role is not Role.OPERATOR:
+            self._report_refusal(f'{self.bearer.name} may only read')
+            detail = 'expected a token of the role operator'
+            raise _ProblemError(make_problem(ProblemName.FORBIDDEN, detail))
+
+    async def read_source(self) -> Source:
+        """Return what stands behind the answer to a read."""
+        stale = self.get_query_argument('stale', 'false') == 'true'
+        return _unwrap(await self.administration.read_source(stale=stale))
+
+    def read_body(self, kind: type[_Document]) -> _Document:
+        """Decode the body of the request."""
+        peer = str(self.request.remote_ip)
+        decoded = decode_document(self.request.body, kind, peer)
+        if isinstance(decoded, Failed):
+            detail = decoded.failure().reason
+            raise _ProblemError(make_problem(ProblemName.BAD_REQUEST, detail))
+        return decoded.unwrap()
+
+    def answer(self, document: Any) -> None:
+        """Send a document."""
+        self.set_header('Content-Type', 'application/json')
+        self.finish(encode_document(document))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        _, error, _ = kwargs.get('exc_info', (None, None, None))
+        problem = _find_problem(status_code, error)
+        self.set_status(problem.status)
+        self.set_header('Content-Type', 'application/problem+json')
+        if problem.status == 401:
+            self.set_header('WWW-Authenticate', 'Bearer')
+        if problem.status in (503, 504):
+            self.set_header('Retry-After', '1')
+        self.finish(encode_document(problem))
+
+    def log_exception(self, *info: Any) -> None:
+        if not isinstance(info[1], _ProblemError):
+            super().log_exception(*info)
+
+    def _report_refusal(self, reason: str) -> None:
+        self.report(
+            CONTROL_TOKEN_REFUSED,
+            step=f'{self.request.method} {self.request.path}',
+            peer=str(self.request.remote_ip),
+            reason=reason,
+        )
+
+
+class _ConfigurationHandler(_Handler):
+    async def get(self) -> None:
+        source = await self.read_source()
+        self.answer(self.administration.show(source))
+
+    async def put(self) -> None:
+        self.require_operator()
+        request = self.read_body(ChangeRequest)
+        name = self.bearer.name
+        self.answer(_unwrap(await self.administration.change(request, name)))
+
+
+class _CheckHandler(_Handler):
+    def post(self) -> None:
+        request = self.read_body(CheckRequest)
+        self.answer(_unwrap(self.administration.check(request)))
+
+
+class _ChangeHandler(_Handler):
+    async def get(self, change_id: str) -> None:
+        await self.read_source()
+        self.answer(_unwrap(self.administration.find_change(change_id)))
+
+
+class _StatusHandler(_Handler):
+    async def get(self) -> None:
+        text = self.get_query_argument('revision', None)
+        if text is not None and not (text.isascii() and text.isdigit()):
+            detail = f'revision: expected a number, found {text!r}'
+            raise _ProblemError(make_problem(ProblemName.BAD_REQUEST, detail))
+        source = await self.read_source()
+        revision = None if text is None else int(text)
+        self.answer(self.administration.show_status(revision, source))
+
+
+class _TargetsHandler(_Handler):
+    async def get(self) -> None:
+        source = await self.read_source()
+        self.answer(self.administration.show_targets(source))
+
+
+class _DrainHandler(_Handler):
+    async def post(self, target: str) -> None:
+        self.require_operator()
+        request = self.read_body(DrainRequest)
+        self.answer(_unwrap(await self.administration.drain(target, request)))
+
+
+class _MembersHandler(_Handler):
+    async def get(self) -> None:
+        source = await self.read_source()
+        self.answer(self.administration.show_members(source))
+
+
+class _MissingHandler(_Handler):
+    def prepare(self) -> None:
+        super().prepare()
+        detail = f'no resource {self.request.path}'
+        raise _ProblemError(make_problem(ProblemName.NOT_FOUND, detail))
+
+
+#: Handler of each path.
+_ROUTES: tuple[tuple[str, type[_Handler]], ...] = (
+    ('/v1/configuration', _ConfigurationHandler),
+    ('/v1/check', _CheckHandler),
+    ('/v1/changes/([^/]+)', _ChangeHandler),
+    ('/v1/status', _StatusHandler),
+    ('/v1/targets', _TargetsHandler),
+    ('/v1/targets/([^/]+)/drain', _DrainHandler),
+    ('/v1/members', _MembersHandler),
+)
+
+
+def serve_api(
+    address: Address,
+    administration: Administration,
+    tokens: tuple[Token, ...],
+    report: Report,
+) -> HTTPServer:
+    """Listen for the administration API.
+
+    :param address: where to listen
+    :param administration: what is answered
+    :param tokens: tokens that are valid
+    :param report: logs an event
+    :raises OSError: when the address can't be bound
+    """
+    given = {
+        'administration': administration,
+        'tokens': tokens,
+        'report': report,
+    }
+    application = Application(
+        [(path, handler, given) for path, handler in _ROUTES],
+        default_handler_class=_MissingHandler,
+        default_handler_args=given,
+        log_function=lambda _: None,
+    )
+    server = HTTPServer(application, max_buffer_size=BODY_MAX)
+    server.add_sockets(bind_sockets(address.port, address.host))
+    return server
+
+
+def _unwrap(result: Result[_Document, Problem]) -> _Document:
+    if isinstance(result, Failed):
+        raise _ProblemError(result.failure())
+    return result.unwrap()
+
+
+def _find_problem(status: int, error: BaseException | None) -> Problem:
+    if isinstance(error, _ProblemError):
+        return error.problem
+    if status == 405:
+        detail = 'no such method on this resource'
+        problem = make_problem(ProblemName.BAD_REQUEST, detail)
+        return Problem(problem.type, problem.title, status, detail)
+    name = ProblemName.BAD_REQUEST if status < 500 else ProblemName.INTERNAL
+    return make_problem(name, str(error))
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/machine.py
@@ -0,0 +1,84 @@
+"""The replicated state machine of a control instance."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+from pistachiohook_core.configuration.commands import Accepted
+from pistachiohook_core.configuration.commands import Change
+from pistachiohook_core.configuration.commands import Command
+from pistachiohook_core.configuration.commands import COMMAND_CODEC
+from pistachiohook_core.configuration.commands import Members
+from pistachiohook_core.configuration.commands import OUTCOME_CODEC
+from pistachiohook_core.configuration.state import apply_encoded
+from pistachiohook_core.configuration.state import decode_state
+from pistachiohook_core.configuration.state import encode_state
+from pistachiohook_core.configuration.state import State
+from pistachiohook_core.events import CONTROL_CHANGE_ACCEPTED
+from pistachiohook_core.events import CONTROL_CHANGE_REFUSED
+
+if TYPE_CHECKING:
+    from pistachiohook_core.membership.holder import Holder
+
+    from ..logs import Report
+
+
+@attrs.define
+class ControlMachine:
+    """Applies what is committed, and tells the holder of the leases.
+
+    :param holder: state of the nodes' connections
+    :param report: logs an event
+    """
+
+    holder: Holder
+    report: Report
+
+    @property
+    def state(self) -> State:
+        """The replicated state as far as it is applied here."""
+        return self.holder.state
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply one committed command and return its encoded outcome."""
+        step = apply_encoded(self.state, index, command)
+        decoded = COMMAND_CODEC.decode(command, 'replicated log').value_or(
+            None
+        )
+        holder = decoded.holder if isinstance(decoded, Members) else None
+        self.holder.follow(step, holder, time.monotonic())
+        if isinstance(decoded, Change):
+            self._report_change(decoded, step.outcome)
+        return OUTCOME_CODEC.encode(step.outcome)
+
+    def take_snapshot(self) -> bytes:
+        """Encode the whole state."""
+        return encode_state(self.state)
+
+    def restore(self, index: int, snapshot: bytes) -> None:
+        """Replace the whole state.
+
+        :raises ValueError: when the snapshot can't be decoded
+        """
+        state = decode_state(snapshot, f'snapshot at {index}')
+        if not isinstance(state.value_or(None), State):
+            raise ValueError(str(state.failure()))
+        self.holder.restart(state.unwrap())
+
+    def _report_change(self, change: Change, outcome: object) -> None:
+        accepted = isinstance(outcome, Accepted)
+        event = CONTROL_CHANGE_ACCEPTED if accepted else CONTROL_CHANGE_REFUSED
+        self.report(
+            event,
+            step='apply change',
+            peer=change.author,
+            change=change.change_id,
+            outcome=str(outcome),
+        )
+
+
+def encode_command(command: Command) -> bytes:
+    """Encode a command for the replicated log."""
+    return COMMAND_CODEC.encode(command)
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/nodes.py
@@ -0,0 +1,116 @@
+"""Tasks that serve the nodes' subscriptions."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+from pistachiohook_core.events import CONTROL_NO_QUORUM
+from pistachiohook_core.membership.holder import SendUpdate
+from pistachiohook_core.subscription_messages import Heartbeat
+from pistachiohook_core.subscription_messages import Leave
+from returns.pipeline import is_successful
+
+from .machine import encode_command
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from pistachiohook_core.membership.holder import Holder
+    from pistachiohook_core.membership.holder import HolderAction
+
+    from ..links import LinkServer
+    from ..logs import Report
+    from .replication import Replicator
+
+#: Time between two looks at leases and news, in seconds.
+TICK_INTERVAL = 0.1
+
+#: Wait before a report or a read that failed is tried again, in seconds.
+RETRY_INTERVAL = 0.5
+
+
+@attrs.define
+class NodeServer:
+    """State of the tasks between the nodes and the replicated state.
+
+    :param holder: decides what is sent and proposed
+    :param replicator: writes reports and reads linearizably
+    :param links: listening end of the nodes' connections
+    :param report: logs an event
+    """
+
+    holder: Holder
+    replicator: Replicator
+    links: LinkServer
+    report: Report
+    _unproved: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def serve(self) -> None:
+        """Take the nodes' messages, until cancelled."""
+        while True:
+            incoming = await self.links.receive()
+            now = time.monotonic()
+            if isinstance(incoming.message, Heartbeat):
+                freshness = self.replicator.freshness(now)
+                self._perform(
+                    self.holder.take_heartbeat(
+                        incoming.peer, incoming.message, freshness, now
+                    )
+                )
+                if not incoming.message.current:
+                    self._unproved.set()
+            elif isinstance(incoming.message, Leave):
+                self.holder.take_leave(incoming.message)
+
+    async def watch(self) -> None:
+        """Expire leases and push what is new, until cancelled."""
+        while True:
+            now = time.monotonic()
+            freshness = self.replicator.freshness(now)
+            leader = self.replicator.leader
+            self._perform(self.holder.tick(freshness, leader, now))
+            self._perform(self.holder.push(freshness))
+            await asyncio.sleep(TICK_INTERVAL)
+
+    async def prove(self) -> None:
+        """Show nodes that have started that they are current."""
+        while True:
+            await self._unproved.wait()
+            self._unproved.clear()
+            names = self.holder.list_unproved()
+            result = await self.replicator.read_barrier()
+            if is_successful(result):
+                freshness = self.replicator.freshness(time.monotonic())
+                self._perform(self.holder.prove(names, freshness))
+            else:
+                await asyncio.sleep(RETRY_INTERVAL)
+
+    async def write(self) -> None:
+        """Write what is learned of the nodes, until cancelled."""
+        while True:
+            command = self.holder.make_report(time.monotonic(), time.time())
+            if command is None:
+                await asyncio.sleep(TICK_INTERVAL / 2)
+                continue
+            result = await self.replicator.propose(encode_command(command))
+            if is_successful(result):
+                self.holder.settle(command)
+                continue
+            failure = result.failure()
+            self.report(
+                CONTROL_NO_QUORUM,
+                step=failure.step,
+                peer=failure.peer,
+                reason=failure.reason,
+            )
+            await asyncio.sleep(RETRY_INTERVAL)
+
+    def _perform(self, actions: Iterable[HolderAction]) -> None:
+        for action in actions:
+            if isinstance(action, SendUpdate):
+                self.links.send(action.peer, action.update)
+            else:
+                self.report(action.event, step='hold lease', peer=action.node)
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/tokens.py
@@ -0,0 +1,100 @@
+"""Bearer tokens of the administration API."""
+
+from __future__ import annotations
+
+import enum
+import hmac
+from typing import TYPE_CHECKING
+
+import attrs
+from pistachiohook_core.failures import Failure
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+#: Shortest token, in characters.
+TOKEN_LENGTH_MIN = 16
+
+_STEP = 'read tokens'
+
+
+class Role(enum.Enum):
+    """What the bearer of a token may do."""
+
+    #: Read everything.
+    READER = 'reader'
+    #: Read everything, and change it.
+    OPERATOR = 'operator'
+
+
+@attrs.frozen
+class Token:
+    """One token.
+
+    :param name: name of its bearer, for logs and conflicts
+    :param role: what the bearer may do
+    :param secret: the token itself
+    """
+
+    name: str
+    role: Role
+    secret: bytes = attrs.field(repr=False)
+
+
+def read_tokens(path: Path) -> Result[tuple[Token, ...], Failure]:
+    """Read a token file: ``name role token``, one a line.
+
+    Empty lines, and lines that begin with ``#``, are passed over.
+
+    :param path: the file
+    """
+    try:
+        lines = path.read_text('ascii').splitlines()
+    except (OSError, ValueError) as error:
+        return Failed(Failure(_STEP, str(path), str(error)))
+    tokens = []
+    for number, line in enumerate(lines, 1):
+        if not line.strip() or line.startswith('#'):
+            continue
+        token = _read_line(line)
+        if token is None:
+            reason = (
+                f'line {number}: expected a name, reader or operator, and a '
+                f'token of at least {TOKEN_LENGTH_MIN} characters'
+            )
+            return Failed(Failure(_STEP, str(path), reason))
+        tokens.append(token)
+    if not tokens:
+        return Failed(Failure(_STEP, str(path), 'no token found'))
+    return Success(tuple(tokens))
+
+
+def find_bearer(tokens: tuple[Token, ...], header: str | None) -> Token | None:
+    """Return the token that an ``Authorization`` header carries.
+
+    Every token is compared in constant time, whichever matches.
+
+    :param tokens: tokens that are valid
+    :param header: value of the header, when there is one
+    """
+    scheme, _, secret = (header or '').partition(' ')
+    given = secret.strip().encode()
+    matches = [
+        token for token in tokens if hmac.compare_digest(token.secret, given)
+    ]
+    if scheme.lower() != 'bearer' or not matches:
+        return None
+    return matches[0]
+
+
+def _read_line(line: str) -> Token | None:
+    parts = line.split()
+    roles = {role.value: role for role in Role}
+    if len(parts) != 3 or parts[1] not in roles:
+        return None
+    if len(parts[2]) < TOKEN_LENGTH_MIN:
+        return None
+    return Token(parts[0], roles[parts[1]], parts[2].encode())
