--- /dev/null
+++ b/tests/core/requests_ledger/ledger_bench.py
@@ -0,0 +1,181 @@
+"""Agents with a ledger, over a network that the test holds in its hands."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import attrs
+from pistachiohook_core.requests.history import History
+from pistachiohook_core.requests.keys import Member
+from pistachiohook_core.requests.ledger_client import Begin
+from pistachiohook_core.requests.ledger_client import Grant
+from pistachiohook_core.requests.ledger_client import KeyRefusal
+from pistachiohook_core.requests.ledger_client import LedgerClient
+from pistachiohook_core.requests.ledger_client import LookUp
+from pistachiohook_core.requests.ledger_client import RefuseKey
+from pistachiohook_core.requests.ledger_client import Replay
+from pistachiohook_core.requests.ledger_client import RunEnded
+from pistachiohook_core.requests.ledger_messages import LEDGER_CODEC
+from pistachiohook_core.requests.ledger_messages import MembershipRead
+from pistachiohook_core.requests.ledger_messages import MessageReceived
+from pistachiohook_core.requests.ledger_messages import Send
+from pistachiohook_core.requests.ledger_messages import Tick
+from pistachiohook_core.requests.ledger_replica import LedgerReplica
+
+START = 1_000_000.0
+LIFETIME = 600.0
+ZONES = ('red', 'green', 'blue')
+
+
+@attrs.define
+class Agent:
+    """Both parts of the ledger at one agent."""
+
+    client: LedgerClient
+    replica: LedgerReplica
+
+
+@attrs.define
+class Bench:
+    """Agents, the messages between them, and what became of the requests."""
+
+    names: tuple
+    formed_at: float | None = None
+    now: float = START
+    agents: dict = attrs.field(factory=dict)
+    incarnations: Counter = attrs.field(factory=Counter)
+    members: set = attrs.field(factory=set)
+    network: list = attrs.field(factory=list)
+    cut: set = attrs.field(factory=set)
+    unconfirmed: set = attrs.field(factory=set)
+    grants: Counter = attrs.field(factory=Counter)
+    granted_to: dict = attrs.field(factory=dict)
+    answers: dict = attrs.field(factory=dict)
+    requests: dict = attrs.field(factory=dict)
+    heard: dict = attrs.field(factory=dict)
+
+    def start(self, name):
+        """Start an agent without memory; it becomes a member."""
+        self.incarnations[name] += 1
+        incarnation = self.incarnations[name]
+        history = History(LIFETIME, self.formed_at)
+        self.agents[name] = Agent(
+            LedgerClient(name, incarnation, LIFETIME, history),
+            LedgerReplica(name, incarnation, self.now, LIFETIME),
+        )
+        self.members.add(name)
+
+    def stop(self, name):
+        """Kill an agent; it is a member until control finds out."""
+        self.agents.pop(name, None)
+
+    def leave(self, name):
+        """Kill an agent and take it out of the membership."""
+        self.stop(name)
+        self.members.discard(name)
+
+    def read_members(self):
+        return tuple(
+            sorted(
+                Member(
+                    name,
+                    ZONES[self.names.index(name) % len(ZONES)],
+                    self.incarnations[name],
+                )
+                for name in self.members
+            )
+        )
+
+    def confirm(self, name):
+        """Let control confirm the membership to one agent."""
+        read = MembershipRead(self.read_members(), self.now)
+        self.feed(name, read)
+
+    def feed(self, name, event):
+        agent = self.agents.get(name)
+        if not agent:
+            return
+        if isinstance(event, MembershipRead | MessageReceived | Tick):
+            for send in agent.replica.handle(event, self.now):
+                self.post(name, send)
+        for action in agent.client.handle(event, self.now):
+            if isinstance(action, Send):
+                self.post(name, action)
+            else:
+                self.hear(name, action)
+
+    def post(self, name, send):
+        data = LEDGER_CODEC.encode(send.message)
+        self.network.append((name, send.peer, data))
+
+    def hear(self, name, action):
+        key = self.requests[action.id].key
+        match action:
+            case Grant(id):
+                self.grants[key] += 1
+                self.granted_to[key] = name
+                self.heard[id] = 'granted'
+            case Replay(id, answer):
+                assert answer == self.answers[key], 'another answer'
+                self.heard[id] = 'replayed'
+            case RefuseKey(id, reason):
+                if reason is KeyRefusal.NOT_RUN:
+                    assert not self.grants[key], 'not run, but granted'
+                self.heard[id] = reason.value
+        assert self.grants[key] <= 1, f'{key} was granted twice'
+
+    def request(self, name, key, body=b'body', kind=Begin, left=30.0):
+        number = len(self.requests) + 1
+        self.requests[number] = kind(number, key, body, self.now + left)
+        self.heard[number] = 'waiting'
+        if name in self.agents:
+            self.feed(name, self.requests[number])
+        return number
+
+    def look_up(self, name, key):
+        return self.request(name, key, kind=LookUp)
+
+    def end_run(self, key, answer):
+        name = self.granted_to[key]
+        self.answers[key] = answer
+        self.feed(name, RunEnded(key, answer))
+
+    def deliver(self, index):
+        sender, receiver, data = self.network.pop(index)
+        if self.is_cut(sender) == self.is_cut(receiver):
+            message = LEDGER_CODEC.decode(data, sender).unwrap()
+            self.feed(receiver, MessageReceived(sender, message))
+
+    def is_cut(self, name):
+        return name in self.cut
+
+    def deliver_all(self):
+        for _ in range(2000):
+            if not self.network:
+                return
+            self.deliver(0)
+
+    def advance(self, seconds, step=0.5):
+        """Let time pass with confirmations, ticks and all messages."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += step
+            for name in tuple(self.agents):
+                if name not in self.unconfirmed:
+                    self.confirm(name)
+                self.feed(name, Tick())
+            self.deliver_all()
+
+
+def make_bench(count, settled=True):
+    """Return a bench whose agents have seen the membership for a while."""
+    bench = Bench(tuple('abcdefgh'[:count]))
+    for name in bench.names:
+        bench.start(name)
+    if settled:
+        bench.advance(30.0)
+    return bench
+
+
+def make_key(bench, tag='one', age=0.0):
+    return f'{int(bench.now - age)}-random-{tag}'
