Own flows at the agents, and start the control role

The agent's datagrams now go through the flow owner: registrations over the links between agents, second chance, fencing and the explicit close. The composition root starts the control role too.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/engine.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from typing import TYPE_CHECKING
 
 from aioquic.buffer import Buffer
@@ -13,6 +14,7 @@
 from aioquic.quic.events import ConnectionIdIssued
 from aioquic.quic.events import ConnectionIdRetired
 from aioquic.quic.events import ConnectionTerminated
+from aioquic.quic.events import HandshakeCompleted
 from aioquic.quic.events import ProtocolNegotiated
 from aioquic.quic.events import QuicEvent
 from aioquic.quic.events import StopSendingReceived
@@ -21,7 +23,7 @@
 from aioquic.quic.packet import pull_quic_header
 from aioquic.quic.packet import QuicPacketType
 import attrs
-from pistachiohook_core.addresses import Address
+from pistachiohook_core.steering.flow_messages import Flow as FlowKey
 
 from .connection import AgentConnection
 from .connection import STREAM_WINDOW
@@ -41,18 +43,6 @@
 H3_NO_ERROR = 0x100
 
 
-@attrs.frozen
-class FlowKey:
-    """The ends of a flow as the caller knows it.
-
-    :param caller: address of the caller
-    :param entry: service address that the caller uses
-    """
-
-    caller: Address
-    entry: Address
-
-
 @attrs.define(eq=False)
 class Flow:
     """State of one flow.
@@ -100,20 +90,22 @@
     :param reset_key: key that stateless resets are derived from
     :param transmit: takes a datagram for the caller of a flow
     :param receive_event: takes what a caller does on a flow
-    :param end_flow: told when a flow has ended
+    :param open_flow: told when a handshake is complete
+    :param end_flow: told when a connection has ended
     """
 
     configuration: QuicConfiguration
     reset_key: bytes
     transmit: Callable[[FlowKey, bytes], None]
     receive_event: Callable[[Flow, H3Event], None]
+    open_flow: Callable[[FlowKey], None]
     end_flow: Callable[[Flow], None]
-    _flows: dict[FlowKey, Flow] = attrs.field(factory=dict)
+    _flows: dict[FlowKey, list[Flow]] = attrs.field(factory=dict)
     _by_id: dict[bytes, Flow] = attrs.field(factory=dict)
 
     def list_flows(self) -> tuple[Flow, ...]:
         """Return the flows that have not ended."""
-        return tuple(self._flows.values())
+        return tuple(itertools.chain.from_iterable(self._flows.values()))
 
     def has_flow(self, key: FlowKey) -> bool:
         """Say whether a flow with these ends is held."""
@@ -130,11 +122,12 @@
         if self._refuse_version(key, header):
             return True
         flow = self._by_id.get(header.destination_cid)
+        if flow is not None and flow.key != key:
+            return False
         if flow is None:
             flow = self._open_flow(key, header, len(payload))
         if flow is None:
             return False
-        self._move_flow(flow, key)
         now = asyncio.get_running_loop().time()
         path = (key.caller.host, key.caller.port)
         flow.connection.receive_datagram(payload, path, now=now)
@@ -154,6 +147,12 @@
         flow.connection.close(error_code=H3_NO_ERROR, reason_phrase=reason)
         self.advance(flow)
 
+    def abandon(self, key: FlowKey) -> None:
+        """Forget a flow and send nothing to its caller."""
+        for flow in self._flows.get(key, ()):
+            self._forget_flow(flow)
+            self._set_timer(flow)
+
     def _refuse_version(self, key: FlowKey, header: QuicHeader) -> bool:
         supported = self.configuration.supported_versions
         version = header.version
@@ -180,7 +179,7 @@
             original_destination_connection_id=header.destination_cid,
         )
         flow = Flow(key, connection)
-        self._flows[key] = flow
+        self._flows.setdefault(key, []).append(flow)
         self._add_id(flow, header.destination_cid)
         self._add_id(flow, connection.host_cid)
         return flow
@@ -189,14 +188,6 @@
         flow._ids.add(connection_id)
         self._by_id[connection_id] = flow
 
-    def _move_flow(self, flow: Flow, key: FlowKey) -> None:
-        if flow.key == key:
-            return
-        if self._flows.get(flow.key) is flow:
-            del self._flows[flow.key]
-        flow.key = key
-        self._flows[key] = flow
-
     def _take_events(self, flow: Flow) -> None:
         event = flow.connection.next_event()
         while event is not None:
@@ -209,10 +200,15 @@
         elif isinstance(event, ConnectionIdRetired):
             flow._ids.discard(event.connection_id)
             self._by_id.pop(event.connection_id, None)
+        elif isinstance(event, HandshakeCompleted):
+            self.open_flow(flow.key)
         elif isinstance(event, ProtocolNegotiated):
             flow.h3 = H3Connection(flow.connection)
         elif isinstance(event, ConnectionTerminated):
             self._forget_flow(flow)
+        self._take_stream_event(flow, event)
+
+    def _take_stream_event(self, flow: Flow, event: QuicEvent) -> None:
         if flow.h3 is not None:
             for h3_event in flow.h3.handle_event(event):
                 self.receive_event(flow, h3_event)
@@ -221,7 +217,10 @@
 
     def _forget_flow(self, flow: Flow) -> None:
         flow.ended = True
-        if self._flows.get(flow.key) is flow:
+        others = [one for one in self._flows[flow.key] if one is not flow]
+        if others:
+            self._flows[flow.key] = others
+        else:
             del self._flows[flow.key]
         for connection_id in flow._ids:
             self._by_id.pop(connection_id, None)
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/peers.py
@@ -0,0 +1,111 @@
+"""Links between the agents of one service."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..links import LinkClient
+from ..links import LinkServer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pistachiohook_core.addresses import Address
+    from pistachiohook_core.codec import Codec
+
+    from ..keys import LinkKeys
+    from ..logs import Report
+
+#: Silence after which the link to a peer is closed, in seconds.
+LINK_IDLE = 60.0
+
+#: Interval at which idle links are looked for, in seconds.
+SWEEP_INTERVAL = 5.0
+
+
+@attrs.define
+class _PeerLink:
+    """State of the link to one peer."""
+
+    client: LinkClient
+    used_at: float
+
+
+@attrs.define
+class PeerLinks:
+    """State of an agent's links: one listener, a dialer for each peer.
+
+    Messages go one way only; what answers one is a message back.
+
+    :param name: name of the instance
+    :param codec: messages between agents
+    :param keys: keys of the links
+    :param report: logs an event
+    """
+
+    name: str
+    codec: Codec
+    keys: LinkKeys
+    report: Report
+    _server: LinkServer = attrs.field(init=False)
+    _links: dict[Address, _PeerLink] = attrs.field(factory=dict)
+    _readers: dict[Address, asyncio.Task[None]] = attrs.field(factory=dict)
+
+    @_server.default
+    def _make_server(self) -> LinkServer:
+        return LinkServer(self.codec, self.keys, self.report)
+
+    def listen(self, address: Address) -> Address:
+        """Bind and return the address, with the port that was chosen."""
+        return self._server.listen(address)
+
+    async def serve(self, receive: Callable[[Any], None]) -> None:
+        """Hand on the peers' messages until cancelled.
+
+        :param receive: takes each message
+        """
+        while True:
+            incoming = await self._server.receive()
+            receive(incoming.message)
+
+    async def sweep(self) -> None:
+        """Close idle links, until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(SWEEP_INTERVAL)
+                self._close_idle(asyncio.get_running_loop().time())
+        finally:
+            self._close_idle(float('inf'))
+
+    def send(self, address: Address, message: Any) -> bool:
+        """Send without waiting.
+
+        :returns: whether the message could be handed to the connection
+        """
+        link = self._links.get(address) or self._dial(address)
+        link.used_at = asyncio.get_running_loop().time()
+        return link.client.send(message)
+
+    def _dial(self, address: Address) -> _PeerLink:
+        client = LinkClient(
+            self.name, address, self.codec, self.keys, self.report
+        )
+        client.dial()
+        link = _PeerLink(client, 0.0)
+        self._links[address] = link
+        self._readers[address] = asyncio.create_task(client.drain())
+        return link
+
+    def _close_idle(self, now: float) -> None:
+        idle = [
+            address
+            for address, link in self._links.items()
+            if now - link.used_at > LINK_IDLE
+        ]
+        for address in idle:
+            self._readers.pop(address).cancel()
+            self._links.pop(address).client.close()
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
@@ -19,31 +19,28 @@
 from pistachiohook_core.requests.scheduler import Scheduler
 from pistachiohook_core.requests.scheduler import SchedulerSettings
 from pistachiohook_core.requests.scheduler_messages import DrainStarted
-from pistachiohook_core.steering.envelope import Envelope
 from pistachiohook_core.steering.envelope import Keys
-from pistachiohook_core.steering.envelope import Kind
-from pistachiohook_core.steering.envelope import seal
-from pistachiohook_core.steering.envelope import unseal
-from pistachiohook_core.steering.quic import read_connection_id
-from returns.result import Failure as Failed
+from pistachiohook_core.steering.flow_messages import MessageReceived
+from pistachiohook_core.steering.flow_messages import PublishedChanged
+from pistachiohook_core.steering.flow_messages import Register
+from pistachiohook_core.steering.flow_messages import STEERING_CODEC
+from pistachiohook_core.steering.flows import FlowOwner
 
 from ..datagrams import DatagramSocket
 from ..endpoints import Health
 from ..subscriber import build_subscriber
-from .connection import build_stateless_reset
 from .engine import configure_quic
-from .engine import CONNECTION_ID_LENGTH
 from .engine import Engine
 from .engine import Flow
-from .engine import FlowKey
 from .engine import StreamCancelled
 from .exchange import Exchange
 from .exchange import Header
+from .flows import FlowService
 from .goaway import send_goaway
+from .peers import PeerLinks
 from .requests import RequestService
 
 if TYPE_CHECKING:
-    from pistachiohook_core.addresses import Address
     from pistachiohook_core.metrics import Metrics
 
     from ..keys import LinkKeys
@@ -72,23 +69,19 @@
 
     :param own: the agent's settings
     :param target: what the agent announces
-    :param keys: keys of the envelopes
     :param metrics: counts what passes and what is dropped
-    :param sealed: socket between agent, balancers and other agents
+    :param flows: the datagrams' way
     :param requests: the requests in progress
     """
 
     own: AgentSettings
     target: Target
-    keys: Keys
     metrics: Metrics
-    sealed: DatagramSocket
+    flows: FlowService
     requests: RequestService
     engine: Engine | None = None
     subscriber: Subscriber | None = None
-    published: Published = attrs.field(factory=Published)
     service: Service | None = None
-    _balancers: dict[FlowKey, Address] = attrs.field(factory=dict)
     _exchanges: dict[tuple[Flow, int], tuple[int, Exchange]] = attrs.field(
         factory=dict
     )
@@ -96,7 +89,7 @@
 
     def apply(self, published: Published) -> None:
         """Put what is published in force."""
-        self.published = published
+        self.flows.handle(PublishedChanged(published))
         named = (
             one for one in published.services if one.name == self.own.service
         )
@@ -137,39 +130,10 @@
         if self.subscriber is not None:
             self.subscriber.leave()
 
-    def receive_sealed(self, data: bytes, peer: Address) -> None:
-        """Take a datagram of a balancer or of another agent."""
-        del peer
-        unsealed = unseal(data, self.keys)
-        if isinstance(unsealed, Failed):
-            self.metrics.count(f'dropped_{unsealed.failure().value}')
-            return
-        envelope = unsealed.unwrap()
-        if self.service is None or envelope.service != self.service.number:
-            self.metrics.count('dropped_wrong_service')
-        elif envelope.incarnation != self.target.incarnation:
-            self.metrics.count('dropped_wrong_incarnation')
-        else:
-            self._deliver(envelope)
-
-    def transmit(self, key: FlowKey, payload: bytes) -> None:
-        """Send a datagram to a caller through a live balancer."""
-        balancer = self._choose_balancer(key)
-        if balancer is None or self.service is None:
-            self.metrics.count('dropped_no_balancer')
-            return
-        envelope = Envelope(
-            Kind.ANSWER,
-            self.service.number,
-            self.target.incarnation,
-            self.published.revision,
-            0,
-            key.caller,
-            key.entry,
-            balancer,
-            payload,
-        )
-        self.sealed.send(seal(envelope, self.keys), balancer)
+    def receive_message(self, message: object) -> None:
+        """Take a message of another agent."""
+        if isinstance(message, Register):
+            self.flows.handle(MessageReceived(message))
 
     def receive_event(self, flow: Flow, event: H3Event) -> None:
         """Take what a caller does on a flow."""
@@ -184,11 +148,11 @@
 
     def end_flow(self, flow: Flow) -> None:
         """Cancel what nobody waits for any more."""
-        self.metrics.count('flows_ended')
-        self._balancers.pop(flow.key, None)
         streams = [stream for held, stream in self._exchanges if held is flow]
         for stream in streams:
             self._cancel_exchange(flow, stream)
+        if self.engine is not None and not self.engine.has_flow(flow.key):
+            self.flows.end_flow(flow.key)
 
     def find_health(self) -> Health:
         """Say whether the agent takes part in the service."""
@@ -220,29 +184,6 @@
         if self.engine is not None:
             self.engine.configuration.idle_timeout = service.idle_timeout
 
-    def _deliver(self, envelope: Envelope) -> None:
-        key = FlowKey(envelope.caller, envelope.entry)
-        self._balancers[key] = envelope.balancer
-        assert self.engine is not None
-        if not self.engine.receive(key, envelope.payload):
-            self._close_unknown(key, envelope.payload)
-            self._balancers.pop(key, None)
-
-    def _close_unknown(self, key: FlowKey, payload: bytes) -> None:
-        """Tell the caller at once that its flow is gone (RFC 9000, 10.3)."""
-        self.metrics.count('unknown_flows')
-        connection_id = read_connection_id(payload, CONNECTION_ID_LENGTH)
-        if connection_id is not None and self.engine is not None:
-            reset_key = self.engine.reset_key
-            self.transmit(key, build_stateless_reset(reset_key, connection_id))
-
-    def _choose_balancer(self, key: FlowKey) -> Address | None:
-        last = self._balancers.get(key)
-        live = [one.address for one in self.published.balancers]
-        if last in live or not live:
-            return last
-        return live[hash(key) % len(live)]
-
     def _open_exchange(self, flow: Flow, event: HeadersReceived) -> None:
         if (flow, event.stream_id) in self._exchanges:
             return
@@ -298,40 +239,44 @@
     :raises OSError: when an address cannot be bound or a file not be read
     """
     sealed = DatagramSocket(own.sealed)
-    address = sealed.open()
-    scheduler = Scheduler(SchedulerSettings(own.slots), time.monotonic())
+    peers = PeerLinks(settings.name, STEERING_CODEC, link_keys, report)
     target = Target(
         name=own.target,
         service=own.service,
         availability_zone=settings.availability_zone,
-        agent=address,
-        link=own.link,
+        agent=sealed.open(),
+        link=peers.listen(own.link),
         incarnation=time.time_ns(),
         slots=own.slots,
     )
-    role = AgentRole(
-        own=own,
-        target=target,
-        keys=Keys(link_keys.current, link_keys.former),
-        metrics=metrics,
-        sealed=sealed,
-        requests=RequestService(scheduler, own.target_address, metrics),
+    keys = Keys(link_keys.current, link_keys.former)
+    owner = FlowOwner(
+        own.service, own.target, target.agent, target.incarnation
     )
+    flows = FlowService(owner, keys, sealed, peers, metrics)
+    scheduler = Scheduler(SchedulerSettings(own.slots), time.monotonic())
+    requests = RequestService(scheduler, own.target_address, metrics)
+    role = AgentRole(own, target, metrics, flows, requests)
     role.engine = Engine(
         configuration=configure_quic(
             own.certificate, own.private_key, IDLE_TIMEOUT
         ),
         reset_key=derive_reset_key(link_keys),
-        transmit=role.transmit,
+        transmit=flows.transmit,
         receive_event=role.receive_event,
+        open_flow=flows.open_flow,
         end_flow=role.end_flow,
     )
+    flows.engine = role.engine
     role.subscriber = build_subscriber(
         settings.name, settings.control, link_keys, report, role.apply
     )
     role.subscriber.announce(target=target)
-    supervisor.supervise('sealed', partial(sealed.serve, role.receive_sealed))
-    supervisor.supervise('requests', role.requests.run)
+    supervisor.supervise('sealed', partial(sealed.serve, flows.receive_sealed))
+    supervisor.supervise('flows', flows.run)
+    supervisor.supervise('peers', partial(peers.serve, role.receive_message))
+    supervisor.supervise('idle links', peers.sweep)
+    supervisor.supervise('requests', requests.run)
     supervisor.supervise('keepalive', role.keep_alive)
     supervisor.supervise('subscriber', role.subscriber.run)
     return role
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/composition.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/composition.py
@@ -5,6 +5,7 @@
 import asyncio
 from pathlib import Path
 import signal
+from typing import NoReturn
 from typing import TYPE_CHECKING
 
 import attrs
@@ -18,6 +19,7 @@
 
 from .agent.role import start_agent
 from .balancer.role import start_balancer
+from .control.role import run_control
 from .endpoints import Health
 from .endpoints import serve_endpoints
 from .keys import read_keys
@@ -30,6 +32,8 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from pistachiohook_core.failures import Failure
+
     from .keys import LinkKeys
     from .logs import Report
     from .settings import Settings
@@ -102,9 +106,23 @@
             settings, settings.agent, keys, supervisor, metrics, report
         )
         return Role(agent.find_health, agent.shut_down)
+    if settings.control_instance is not None:
+        started = await run_control(
+            settings.name,
+            settings.control_instance,
+            supervisor,
+            keys,
+            report,
+        )
+        control = started.alt(_raise_failure).unwrap()
+        return Role(control.find_health, control.shut_down)
     raise ValueError(f'no table for the role {settings.role}')
 
 
+def _raise_failure(failure: Failure) -> NoReturn:
+    raise ValueError(str(failure))
+
+
 async def _run_until_stopped(
     supervisor: Supervisor, role: Role, report: Report
 ) -> int:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/role.py
@@ -58,7 +58,7 @@
         reason = f'leader {leader}, quorum proved {freshness:.1f} s ago'
         return Health(freshness <= FRESHNESS_BOUND, reason)
 
-    def close(self) -> None:
+    async def shut_down(self) -> None:
         """Take no more connections."""
         self.api.stop()
         self.links.close()
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/links.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/links.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import hashlib
 import hmac
 import secrets
@@ -243,6 +244,12 @@
             if message is not None:
                 return message
 
+    async def drain(self) -> None:
+        """Take what arrives and let it go, until the link is closed."""
+        with contextlib.suppress(pynng.Closed):
+            while True:
+                await self.receive()
+
     def close(self) -> None:
         """Close the connection."""
         if self._socket is not None:
