Table the faults of the ledger

Each step at which the holder may die, what a caller hears who sends an order again, partitions, restarts of all agents, a second loss just after a repair, and keys that can not be used. The target counts runs by key and the bench fails on a second grant or a wrong not-run.

A cold service granted nothing for its first seconds, since no replica could know that it had forgotten nothing; a known time of formation now tells it (the last scenario failed before).

--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/ledger_replica.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/ledger_replica.py
@@ -48,12 +48,15 @@
     :param incarnation: number of this start of the agent; grows
     :param started_at: when it was started, in seconds since the epoch
     :param lifetime: how long a key may be used, in seconds
+    :param formed_at: when the service's ledger came into being, if that is
+        known; a replica that was started before has forgotten nothing
     """
 
     name: str
     incarnation: int
     started_at: float
     lifetime: float
+    formed_at: float | None = None
     _records: dict[str, Record] = attrs.field(factory=dict, init=False)
     _recoveries: dict[str, _Recovery] = attrs.field(factory=dict, init=False)
     _restarts: dict[str, int] = attrs.field(factory=dict, init=False)
@@ -158,6 +161,8 @@
         )
 
     def _remembers(self, key: str) -> bool:
+        if self.formed_at is not None and self.started_at <= self.formed_at:
+            return True
         issued = read_issue_time(key)
         return issued is not None and (
             issued > self.started_at + CLOCK_SKEW_MAX
--- a/tests/core/requests_ledger/ledger_bench.py
+++ b/tests/core/requests_ledger/ledger_bench.py
@@ -61,7 +61,9 @@
         history = History(LIFETIME, self.formed_at)
         self.agents[name] = Agent(
             LedgerClient(name, incarnation, LIFETIME, history),
-            LedgerReplica(name, incarnation, self.now, LIFETIME),
+            LedgerReplica(
+                name, incarnation, self.now, LIFETIME, self.formed_at
+            ),
         )
         self.members.add(name)
 
@@ -140,6 +142,19 @@
         self.answers[key] = answer
         self.feed(name, RunEnded(key, answer))
 
+    def exchange(self, random, loss):
+        """Deliver in any order, losing and doubling some."""
+        for _ in range(400):
+            if not self.network:
+                return
+            index = random.randrange(len(self.network))
+            if random.random() < loss:
+                self.network.pop(index)
+                continue
+            if random.random() < loss / 4:
+                self.network.append(self.network[index])
+            self.deliver(index)
+
     def deliver(self, index):
         sender, receiver, data = self.network.pop(index)
         if self.is_cut(sender) == self.is_cut(receiver):
--- /dev/null
+++ b/tests/core/requests_ledger/steps/ledger_steps.py
@@ -0,0 +1,304 @@
+"""Steps about the ledger's agents and their faults."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+from ledger_bench import Bench
+from ledger_bench import make_bench
+from ledger_bench import make_key
+from ledger_bench import START
+from pistachiohook_core.requests.keys import place_replicas
+
+
+@given('{count:d} agents that share a ledger')
+def make_agents(context, count):
+    context.bench = make_bench(count)
+    context.key = make_key(context.bench)
+    context.sent = {}
+
+
+@given('{count:d} agents of a service that was formed just now')
+def make_cold_agents(context, count):
+    context.bench = Bench(tuple('abc'[:count]), formed_at=START)
+    for name in context.bench.names:
+        context.bench.start(name)
+    context.key = make_key(context.bench)
+    context.sent = {}
+
+
+@given('control no longer reaches {name:w}')
+def stop_confirming(context, name):
+    context.bench.unconfirmed.add(name)
+
+
+@when('the order is sent to {name:w}')
+def send_order(context, name):
+    context.sent[name] = context.bench.request(name, context.key)
+
+
+@when('a is killed, before it asks for votes')
+def kill_early(context):
+    context.bench.network.clear()
+    context.bench.stop('a')
+
+
+@when('a is killed, once the replicas have voted')
+def kill_voted(context):
+    bench = context.bench
+    for _ in range(len(bench.network)):
+        bench.deliver(0)
+    bench.network[:] = [p for p in bench.network if p[1] != 'a']
+    bench.stop('a')
+
+
+@when('a is killed, once it holds the grant')
+def kill_granted(context):
+    context.bench.deliver_all()
+    assert context.bench.granted_to[context.key] == 'a'
+    context.bench.stop('a')
+
+
+@when('a is killed, once the run ended')
+def kill_ended(context):
+    context.bench.deliver_all()
+    context.bench.end_run(context.key, b'answer')
+    context.bench.network.clear()
+    context.bench.stop('a')
+
+
+@when('a is killed, once one replica has the answer')
+def kill_settled_once(context):
+    bench = context.bench
+    bench.deliver_all()
+    bench.end_run(context.key, b'answer')
+    others = [post for post in bench.network if post[1] != 'a']
+    bench.network[:] = others[:1]
+    bench.deliver_all()
+    bench.stop('a')
+
+
+@when('a is killed, once all have the answer')
+def kill_settled(context):
+    context.bench.deliver_all()
+    context.bench.end_run(context.key, b'answer')
+    context.bench.deliver_all()
+    context.bench.stop('a')
+
+
+@when('control notices after {seconds:d} s')
+def notice(context, seconds):
+    context.bench.members.discard('a')
+    context.bench.advance(float(seconds))
+
+
+@when('the order is sent again to {name:w}')
+def resend_order(context, name):
+    context.sent[name] = context.bench.request(name, context.key)
+    context.bench.deliver_all()
+
+
+@when('the order is granted to a')
+def grant_order(context):
+    context.bench.request('a', context.key)
+    context.bench.deliver_all()
+    assert context.bench.granted_to[context.key] == 'a'
+
+
+@when('the order is granted to a, which dies')
+def grant_and_die(context):
+    grant_order(context)
+    context.bench.leave('a')
+
+
+@when('the target answers')
+def answer(context):
+    context.bench.deliver_all()
+    context.bench.end_run(context.key, b'answer')
+    context.bench.deliver_all()
+    context.bench.advance(0.5)
+
+
+@when("the target's answer is lost")
+def lose_answer(context):
+    context.bench.end_run(context.key, None)
+    context.bench.deliver_all()
+
+
+@when('the target answers while all messages are lost')
+def answer_unheard(context):
+    context.bench.end_run(context.key, b'answer')
+    context.bench.network.clear()
+
+
+@when('nothing more happens')
+def wait(context):
+    """The run goes on."""
+
+
+@step('{seconds:d} s pass')
+def pass_time(context, seconds):
+    context.bench.advance(float(seconds))
+
+
+@when('the order is sent twice at once to a')
+def send_twice(context):
+    context.bench.request('a', context.key)
+    context.second = context.bench.request('a', context.key)
+    context.bench.deliver_all()
+
+
+@then('the second is {outcome}')
+def check_second(context, outcome):
+    assert context.bench.heard[context.second] == outcome
+
+
+@when('an order with a key {form} is sent to a')
+def send_with_key(context, form):
+    bench = context.bench
+    keys = {
+        'without a time': 'random-random-random',
+        'issued 700 s ago': make_key(bench, age=700.0),
+        'issued 20 s ahead': make_key(bench, age=-20.0),
+        'of another order': context.key,
+    }
+    if keys[form] == context.key:
+        bench.request('b', context.key, body=b'another')
+        bench.deliver_all()
+    context.sent['a'] = bench.request('a', keys[form])
+    bench.deliver_all()
+
+
+@when('{name:w} leaves')
+def leave(context, name):
+    context.bench.leave(name)
+
+
+@when('a replica of the order leaves')
+def leave_replica(context):
+    members = context.bench.read_members()
+    context.bench.leave(place_replicas(context.key, members)[0])
+
+
+@when('the order is sent again to a live agent')
+def resend_to_live(context):
+    name = sorted(context.bench.agents)[0]
+    context.last = context.bench.request(name, context.key)
+    context.bench.deliver_all()
+
+
+@when('all agents restart, {gap:d} s apart')
+def restart_all(context, gap):
+    context.bench.advance(1.0)
+    for name in context.bench.names:
+        context.bench.start(name)
+        if gap:
+            context.bench.advance(float(gap))
+
+
+@when('the replicas of the order but one are cut off with c')
+def cut(context):
+    bench = context.bench
+    replicas = place_replicas(context.key, bench.read_members())
+    bench.cut = set(replicas[1:])
+    context.sides = {'larger': replicas[1], 'smaller': replicas[0]}
+
+
+@when('the order is sent to the agent on the smaller side')
+def send_smaller(context):
+    send_side(context, 'smaller')
+
+
+@when('the order is sent to the larger side')
+def send_larger(context):
+    send_side(context, 'larger')
+
+
+def send_side(context, side):
+    name = context.sides[side]
+    context.sent[side] = context.bench.request(name, context.key)
+    context.bench.deliver_all()
+
+
+@then('the {side} side is {outcome}')
+def check_side(context, side, outcome):
+    heard = context.bench.heard[context.sent[side]]
+    assert heard == outcome, heard
+
+
+@when('the partition ends')
+def heal(context):
+    context.bench.cut = set()
+
+
+@when('c is cut off')
+def cut_c(context):
+    context.bench.cut = {'c'}
+
+
+@when('c looks the order up')
+def look_up(context):
+    context.sent['c'] = context.bench.look_up('c', context.key)
+    context.bench.deliver_all()
+
+
+@when(
+    'the holder {fate:w} after each number of messages up to {most:d}',
+)
+def sweep(context, fate, most):
+    context.outcomes = [
+        try_kill(fate, count, answers)
+        for count in range(most + 1)
+        for answers in (True, False)
+    ]
+
+
+def try_kill(fate, count, answers):
+    """Kill the holder after so many messages, then send the order again."""
+    bench = make_bench(5)
+    key = make_key(bench)
+    bench.request('a', key)
+    for _ in range(count):
+        if key in bench.granted_to and answers and key not in bench.answers:
+            bench.end_run(key, b'answer')
+        if bench.network:
+            bench.deliver(0)
+    before = bench.grants[key]
+    if fate == 'leaves':
+        bench.leave('a')
+    else:
+        bench.start('a')
+    bench.advance(3.0)
+    again = bench.request('b', key)
+    bench.deliver_all()
+    bench.advance(31.0)
+    return before, bench.grants[key], bench.heard[again]
+
+
+@then('the order never ran twice, and was granted again only if never before')
+def check_sweep(context):
+    for before, grants, heard in context.outcomes:
+        assert grants <= 1
+        assert heard != 'waiting'
+        assert heard != 'granted' or not before
+    assert {'replayed', 'unknown outcome'} <= {o[2] for o in context.outcomes}
+
+
+@then('the answer to {name:w} is {outcome}')
+def check_answer(context, name, outcome):
+    context.bench.deliver_all()
+    heard = context.bench.heard[context.sent[name]]
+    assert heard == outcome, heard
+
+
+@then('the answer is {outcome}')
+def check_last(context, outcome):
+    heard = context.bench.heard[context.last]
+    assert heard == outcome, heard
+
+
+@then('the order was granted {count:d} times')
+def check_grants(context, count):
+    assert context.bench.grants[context.key] == count
