Grant idempotency keys before a request reaches its target

A request with a key is read whole, granted by the ledger, run once, and its answer stored for repeats. A refusal as not run asks the ledger first. Trial in one process: the first order of each flow hears unknown-outcome after 20 s when its key was issued within the first seconds of the service; not mended here.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/exchange.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/exchange.py
@@ -124,6 +124,15 @@
         self.flow.h3.send_data(self.stream_id, chunk, ended)
         self.engine.advance(self.flow)
 
+    def send_rest(self, chunk: bytes) -> None:
+        """Send the end of the response body, and ask for no more body."""
+        if self.flow.h3 is None or self.gone.is_set() or self.finished:
+            return
+        self.finished = True
+        self.flow.h3.send_data(self.stream_id, chunk, True)
+        self.discard_body()
+        self.engine.advance(self.flow)
+
     def abort(self) -> None:
         """Reset the response, so that a cut one never passes as whole."""
         if self.gone.is_set() or self.finished:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/peers.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/peers.py
@@ -7,6 +7,9 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from pistachiohook_core.codec import Codec
+from pistachiohook_core.requests.ledger_messages import LEDGER_CODEC
+from pistachiohook_core.steering.flow_messages import Register
 
 from ..links import LinkClient
 from ..links import LinkServer
@@ -15,11 +18,13 @@
     from collections.abc import Callable
 
     from pistachiohook_core.addresses import Address
-    from pistachiohook_core.codec import Codec
 
     from ..keys import LinkKeys
     from ..logs import Report
 
+#: Every message between agents; the ledger's keep their own numbers.
+PEER_CODEC = Codec({**LEDGER_CODEC.kinds, 20: Register})
+
 #: Silence after which the link to a peer is closed, in seconds.
 LINK_IDLE = 60.0
 
@@ -41,7 +46,7 @@
 
     Messages go one way only; what answers one is a message back.
 
-    :param name: name of the instance
+    :param name: name of the agent's target
     :param codec: messages between agents
     :param keys: keys of the links
     :param report: logs an event
@@ -63,14 +68,14 @@
         """Bind and return the address, with the port that was chosen."""
         return self._server.listen(address)
 
-    async def serve(self, receive: Callable[[Any], None]) -> None:
+    async def serve(self, receive: Callable[[str, Any], None]) -> None:
         """Hand on the peers' messages until cancelled.
 
-        :param receive: takes each message
+        :param receive: takes the name of the peer's target and the message
         """
         while True:
             incoming = await self._server.receive()
-            receive(incoming.message)
+            receive(incoming.sender, incoming.message)
 
     async def sweep(self) -> None:
         """Close idle links, until cancelled."""
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/requests.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/requests.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import itertools
-import json
 import time
+from typing import Any
 from typing import TYPE_CHECKING
 
 import attrs
+from pistachiohook_core.requests.ledger_client import Grant
+from pistachiohook_core.requests.ledger_client import KeyRefusal
+from pistachiohook_core.requests.ledger_client import Replay
 from pistachiohook_core.requests.scheduler_messages import Action
 from pistachiohook_core.requests.scheduler_messages import CancelAtTarget
 from pistachiohook_core.requests.scheduler_messages import Event
@@ -20,29 +24,46 @@
 from pistachiohook_core.requests.scheduler_messages import RequestArrived
 from pistachiohook_core.requests.scheduler_messages import RequestCancelled
 from pistachiohook_core.requests.scheduler_messages import Start
+from pistachiohook_core.requests.scheduler_messages import StartWithdrawn
 from pistachiohook_core.requests.scheduler_messages import TargetAnswered
 from pistachiohook_core.requests.scheduler_messages import TargetFailed
 from pistachiohook_core.requests.scheduler_messages import Tick
 from pistachiohook_core.requests.scheduler_messages import TICK_INTERVAL
 from returns.result import Failure as Failed
 
+from .answers import BAD_KEY
+from .answers import BODY_TOO_LONG
+from .answers import decode_answer
+from .answers import describe_problem
+from .answers import encode_answer
+from .answers import is_refusal
+from .answers import NOT_RUN
+from .answers import OTHER_REQUEST
+from .answers import Problem
+from .answers import Relay
+from .answers import send_answer
+from .answers import StoredAnswer
+from .answers import UNKNOWN_OUTCOME
 from .exchange import CallerGoneError
 from .exchange import Exchange
 from .exchange import Header
 from .target import ask_target
-from .target import Receiver
 from .target import TargetFailure
 from .target import TargetRequest
-from .target import TargetResponse
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from collections.abc import Callable
+    from collections.abc import Coroutine
 
     from pistachiohook_core.addresses import Address
     from pistachiohook_core.metrics import Metrics
     from pistachiohook_core.requests.scheduler import Scheduler
     from returns.result import Result
 
+    from .ledger import LedgerService
+    from .ledger import Verdict
+
 #: Methods that may run more than once (RFC 9110, 9.2.2) and have no body.
 REPEATABLE_METHODS = frozenset({'GET', 'HEAD', 'OPTIONS'})
 
@@ -58,35 +79,61 @@
 #: Header field with the idempotency key of a request.
 KEY_HEADER = 'idempotency-key'
 
-#: Start of the problem types of RFC 9457 in this system.
-PROBLEM_TYPE = 'urn:pistachiohook:problem:'
+#: Longest body of a request with a key, in bytes.
+KEYED_BODY_MAX = 256 * 1024
+
+#: What a caller is told for each refusal of its key.
+KEY_PROBLEMS: dict[KeyRefusal, Problem] = {
+    KeyRefusal.MALFORMED: BAD_KEY,
+    KeyRefusal.EXPIRED: BAD_KEY,
+    KeyRefusal.NOT_YET_ISSUED: BAD_KEY,
+    KeyRefusal.OTHER_REQUEST: OTHER_REQUEST,
+    KeyRefusal.UNKNOWN_OUTCOME: UNKNOWN_OUTCOME,
+    KeyRefusal.NOT_RUN: NOT_RUN,
+}
 
 
 @attrs.define
 class _Served:
-    """State of one request."""
+    """State of one request.
+
+    :param body: the whole body of a request with a key
+    :param granted: whether the ledger has granted the key to this agent
+    """
 
+    number: int
     exchange: Exchange
     ended: Callable[[], object]
     deadline: float
     arrived: float
+    key: str = ''
+    body: bytes = b''
+    digest: bytes = b''
+    granted: bool = False
     attempt: asyncio.Task[None] | None = None
 
+    def count_left(self) -> float:
+        """Return how long the caller still waits, in seconds."""
+        return max(0.0, self.deadline - time.monotonic())
+
 
 @attrs.define
 class RequestService:
     """State of all requests of one agent.
 
     :param scheduler: decides what starts and what is refused
+    :param ledger: grants idempotency keys
     :param target: HTTP/1.1 address of the target
     :param metrics: counts and durations
     """
 
     scheduler: Scheduler
+    ledger: LedgerService
     target: Address
     metrics: Metrics
     _served: dict[int, _Served] = attrs.field(factory=dict)
     _numbers: itertools.count[int] = attrs.field(factory=itertools.count)
+    _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     async def run(self) -> None:
         """Let the scheduler see the time until cancelled."""
@@ -106,23 +153,23 @@
         number = next(self._numbers)
         now = time.monotonic()
         deadline = now + _read_timeout(exchange)
-        self._served[number] = _Served(exchange, ended, deadline, now)
+        served = _Served(number, exchange, ended, deadline, now)
+        self._served[number] = served
         self.metrics.count('requests')
-        request = Request(
-            id=number,
-            flow=str(exchange.flow.key.caller),
-            route=_find_route(exchange),
-            idempotent=exchange.method in REPEATABLE_METHODS,
-            deadline=deadline,
-            key=exchange.find_header(KEY_HEADER) or '',
-            size=_read_length(exchange),
-        )
-        self.handle(RequestArrived(request))
+        served.key = exchange.find_header(KEY_HEADER) or ''
+        if served.key:
+            self._begin_task(self._read_keyed(served))
+        else:
+            self._admit(served)
         return number if number in self._served else None
 
     def cancel(self, number: int) -> None:
-        """Note that nobody waits for the answer."""
-        if number in self._served:
+        """Note that nobody waits for the answer.
+
+        A granted run goes on to its end, so that a repeat finds its answer.
+        """
+        served = self._served.get(number)
+        if served is not None and not served.granted:
             self.handle(RequestCancelled(number))
 
     def count_open(self) -> int:
@@ -136,7 +183,8 @@
 
     def _perform(self, action: Action) -> None:
         if isinstance(action, Start):
-            self._start(action.id)
+            served = self._served[action.id]
+            served.attempt = self._begin_task(self._attempt(served))
         elif isinstance(action, Refuse):
             self._refuse(action)
         elif isinstance(action, CancelAtTarget):
@@ -144,14 +192,48 @@
         elif isinstance(action, Finish):
             self._finish(action.id)
 
-    def _start(self, number: int) -> None:
-        served = self._served[number]
-        served.attempt = asyncio.create_task(self._attempt(number, served))
+    def _begin_task(
+        self, work: Coroutine[Any, Any, None]
+    ) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _read_keyed(self, served: _Served) -> None:
+        """Read the whole body, which the key belongs to."""
+        exchange = served.exchange
+        body = bytearray()
+        try:
+            async for chunk in exchange.read_body():
+                body += chunk
+                if len(body) > KEYED_BODY_MAX:
+                    self._end(served, describe_problem(BODY_TOO_LONG))
+                    return
+        except CallerGoneError:
+            self._finish(served.number)
+            return
+        served.body = bytes(body)
+        served.digest = _digest_request(exchange, served.body)
+        self._admit(served)
+
+    def _admit(self, served: _Served) -> None:
+        exchange = served.exchange
+        request = Request(
+            id=served.number,
+            flow=str(exchange.flow.key.caller),
+            route=_find_route(exchange),
+            idempotent=exchange.method in REPEATABLE_METHODS,
+            deadline=served.deadline,
+            key=served.key,
+            size=len(served.body) or _read_length(exchange),
+        )
+        self.handle(RequestArrived(request))
 
     def _cancel_attempt(self, number: int) -> None:
-        attempt = self._served[number].attempt
-        if attempt is not None:
-            attempt.cancel()
+        served = self._served.get(number)
+        if served is not None and served.attempt is not None:
+            served.attempt.cancel()
 
     def _finish(self, number: int) -> None:
         served = self._served.pop(number, None)
@@ -160,101 +242,141 @@
             duration = time.monotonic() - served.arrived
             self.metrics.record_duration('request', duration)
 
+    def _end(self, served: _Served, answer: StoredAnswer) -> None:
+        send_answer(served.exchange, answer)
+        self._finish(served.number)
+
     def _refuse(self, refusal: Refuse) -> None:
-        served = self._served.pop(refusal.id)
-        served.ended()
+        served = self._served.get(refusal.id)
+        if served is None:
+            return
+        ran = refusal.reason is RefusalReason.UNKNOWN_OUTCOME
+        problem = UNKNOWN_OUTCOME if ran else NOT_RUN
+        answer = describe_problem(problem, refusal.retry_after)
+        if served.granted:
+            stored = None if ran else encode_answer(answer)
+            self.ledger.end_run(served.key, stored)
+        elif served.key:
+            self._begin_task(self._refuse_keyed(served, answer))
+            return
         self.metrics.count(f'refused_{refusal.reason.name.lower()}')
-        respond_problem(
-            served.exchange, 503, refusal.reason.value, refusal.retry_after
-        )
+        self._end(served, answer)
 
-    async def _attempt(self, number: int, served: _Served) -> None:
+    async def _refuse_keyed(
+        self, served: _Served, answer: StoredAnswer
+    ) -> None:
+        """Refuse only once the ledger knows of no run under the key."""
+        verdict = await self.ledger.look_up(
+            served.number, served.key, served.digest, served.count_left()
+        )
+        self._end(served, self._read_verdict(verdict, answer))
+
+    def _read_verdict(
+        self, verdict: Verdict, refusal: StoredAnswer
+    ) -> StoredAnswer:
+        if isinstance(verdict, Replay):
+            self.metrics.count('replayed')
+            return decode_answer(verdict.answer)
+        if isinstance(verdict, Grant):
+            return refusal
+        self.metrics.count(f'key_{verdict.reason.name.lower()}')
+        if verdict.reason is KeyRefusal.NOT_RUN:
+            return refusal
+        return describe_problem(KEY_PROBLEMS[verdict.reason])
+
+    async def _attempt(self, served: _Served) -> None:
         try:
-            outcome = await self._ask(served)
+            if served.key and not await self._ask_ledger(served):
+                return
+            relay = Relay(served.exchange, whole=bool(served.key))
+            outcome = await self._ask_target(served, relay)
         except asyncio.CancelledError:
-            self.handle(TargetFailed(number, Exposure.SENT))
+            self._lose_answer(served)
+            self.handle(TargetFailed(served.number, Exposure.SENT))
             raise
         except CallerGoneError:
-            self.handle(RequestCancelled(number))
-            self.handle(TargetFailed(number, Exposure.SENT))
-            return
-        if not isinstance(outcome, Failed):
-            self.metrics.count('answered')
-            await _end_response(served.exchange)
-            self.handle(TargetAnswered(number))
+            self.handle(RequestCancelled(served.number))
+            self.handle(TargetFailed(served.number, Exposure.SENT))
             return
-        self._fail(number, served, outcome.failure())
-
-    def _fail(
-        self, number: int, served: _Served, failure: TargetFailure
-    ) -> None:
+        if isinstance(outcome, Failed):
+            self._fail(served, outcome.failure())
+        else:
+            await self._succeed(served, relay)
+
+    async def _ask_ledger(self, served: _Served) -> bool:
+        """Return whether the request may be sent to the target now."""
+        if served.granted:
+            return True
+        verdict = await self.ledger.begin(
+            served.number, served.key, served.digest, served.count_left()
+        )
+        if isinstance(verdict, Grant):
+            served.granted = True
+            return True
+        refusal = describe_problem(NOT_RUN)
+        self._end(served, self._read_verdict(verdict, refusal))
+        self.handle(StartWithdrawn(served.number))
+        return False
+
+    def _lose_answer(self, served: _Served) -> None:
+        if served.granted:
+            self.ledger.end_run(served.key, None)
+
+    def _fail(self, served: _Served, failure: TargetFailure) -> None:
         self.metrics.count('target_failed')
         if served.exchange.responded:
             served.exchange.abort()
-            self.handle(RequestCancelled(number))
+            self.handle(RequestCancelled(served.number))
         exposure = Exposure.SENT if failure.seen else Exposure.NOT_SENT
-        self.handle(TargetFailed(number, exposure))
+        self.handle(TargetFailed(served.number, exposure))
 
-    async def _ask(self, served: _Served) -> Result[None, TargetFailure]:
+    async def _succeed(self, served: _Served, relay: Relay) -> None:
+        held = relay.find_held()
+        if held is not None and is_refusal(held):
+            self.metrics.count('target_shed')
+            self.handle(TargetFailed(served.number, Exposure.SHED))
+            return
+        self.metrics.count('answered')
+        if served.granted and held is not None:
+            self.ledger.end_run(served.key, encode_answer(held))
+        if held is not None:
+            send_answer(served.exchange, held)
+        else:
+            served.exchange.send_rest(b'')
+        self.handle(TargetAnswered(served.number))
+
+    async def _ask_target(
+        self, served: _Served, relay: Relay
+    ) -> Result[None, TargetFailure]:
         exchange = served.exchange
-        left = served.deadline - time.monotonic()
-        timeout = Header(TIMEOUT_HEADER, f'{max(0.0, left):.3f}')
+        left = served.count_left()
+        timeout = Header(TIMEOUT_HEADER, f'{left:.3f}')
         kept = (one for one in exchange.headers if one.name != TIMEOUT_HEADER)
         request = TargetRequest(
             method=exchange.method,
             path=exchange.path,
             headers=(*kept, timeout),
-            body=exchange.read_body() if exchange.has_body else None,
+            body=_choose_body(served),
             timeout=left,
         )
+        return await ask_target(self.target, request, relay.receive())
 
-        def take_head(response: TargetResponse) -> None:
-            exchange.respond(response.status, response.headers)
-
-        receiver = Receiver(take_head, exchange.send_body)
-        return await ask_target(self.target, request, receiver)
 
+def _choose_body(served: _Served) -> AsyncIterator[bytes] | None:
+    if served.key:
+        return _yield_whole(served.body)
+    has_body = served.exchange.has_body
+    return served.exchange.read_body() if has_body else None
 
-def respond_problem(
-    exchange: Exchange, status: int, kind: str, retry_after: int
-) -> None:
-    """Refuse a request with a problem document (RFC 9457).
 
-    :param exchange: the request
-    :param status: status code
-    :param kind: end of the problem type
-    :param retry_after: when another try may succeed, in whole seconds
-    """
-    document = {
-        'type': PROBLEM_TYPE + kind,
-        'title': _TITLES[kind],
-        'status': status,
-    }
-    headers = (
-        Header('content-type', 'application/problem+json'),
-        Header('retry-after', str(retry_after)),
-    )
-    if exchange.responded:
-        exchange.abort()
-        return
-    exchange.respond(status, headers)
-    body = json.dumps(document).encode()
-    if exchange.flow.h3 is not None and not exchange.gone.is_set():
-        exchange.finished = True
-        exchange.flow.h3.send_data(exchange.stream_id, body, True)
-        exchange.discard_body()
-        exchange.engine.advance(exchange.flow)
-
-
-_TITLES = {
-    RefusalReason.NOT_RUN.value: 'The request has not run and will not.',
-    RefusalReason.UNKNOWN_OUTCOME.value: 'The request may have run.',
-}
+async def _yield_whole(body: bytes) -> AsyncIterator[bytes]:
+    if body:
+        yield body
 
 
-async def _end_response(exchange: Exchange) -> None:
-    if not exchange.gone.is_set():
-        await exchange.send_body(b'', ended=True)
+def _digest_request(exchange: Exchange, body: bytes) -> bytes:
+    head = f'{exchange.method} {exchange.path}\n'.encode()
+    return hashlib.blake2b(head + body, digest_size=16).digest()
 
 
 def _find_route(exchange: Exchange) -> str:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
@@ -6,6 +6,7 @@
 from functools import partial
 import hashlib
 import time
+from typing import Any
 from typing import TYPE_CHECKING
 
 from aioquic.h3.events import DataReceived
@@ -16,6 +17,9 @@
 from pistachiohook_core.published import Service
 from pistachiohook_core.published import Target
 from pistachiohook_core.published import TargetState
+from pistachiohook_core.requests.history import History
+from pistachiohook_core.requests.ledger_client import LedgerClient
+from pistachiohook_core.requests.ledger_replica import LedgerReplica
 from pistachiohook_core.requests.scheduler import Scheduler
 from pistachiohook_core.requests.scheduler import SchedulerSettings
 from pistachiohook_core.requests.scheduler_messages import DrainStarted
@@ -23,7 +27,6 @@
 from pistachiohook_core.steering.flow_messages import MessageReceived
 from pistachiohook_core.steering.flow_messages import PublishedChanged
 from pistachiohook_core.steering.flow_messages import Register
-from pistachiohook_core.steering.flow_messages import STEERING_CODEC
 from pistachiohook_core.steering.flows import FlowOwner
 
 from ..datagrams import DatagramSocket
@@ -37,6 +40,8 @@
 from .exchange import Header
 from .flows import FlowService
 from .goaway import send_goaway
+from .ledger import LedgerService
+from .peers import PEER_CODEC
 from .peers import PeerLinks
 from .requests import RequestService
 
@@ -53,6 +58,9 @@
 #: Idle timeout until the policy of the service is known, in seconds.
 IDLE_TIMEOUT = 15.0
 
+#: Life of an idempotency key until the policy is known, in seconds.
+KEY_LIFETIME = 600.0
+
 #: Keepalives that go out within one idle timeout.
 KEEPALIVES = 3
 
@@ -72,6 +80,7 @@
     :param metrics: counts what passes and what is dropped
     :param flows: the datagrams' way
     :param requests: the requests in progress
+    :param ledger: this agent's part in the ledger
     """
 
     own: AgentSettings
@@ -79,6 +88,7 @@
     metrics: Metrics
     flows: FlowService
     requests: RequestService
+    ledger: LedgerService
     engine: Engine | None = None
     subscriber: Subscriber | None = None
     service: Service | None = None
@@ -96,6 +106,13 @@
         self.service = next(named, None)
         if self.service is not None:
             self._apply_policy(self.service)
+        self.ledger.apply_targets(
+            tuple(
+                one
+                for one in published.targets
+                if one.service == self.own.service
+            )
+        )
         announced = (
             one for one in published.targets if one.name == self.target.name
         )
@@ -130,10 +147,12 @@
         if self.subscriber is not None:
             self.subscriber.leave()
 
-    def receive_message(self, message: object) -> None:
+    def receive_message(self, peer: str, message: Any) -> None:
         """Take a message of another agent."""
         if isinstance(message, Register):
             self.flows.handle(MessageReceived(message))
+        else:
+            self.ledger.receive(peer, message)
 
     def receive_event(self, flow: Flow, event: H3Event) -> None:
         """Take what a caller does on a flow."""
@@ -181,6 +200,8 @@
             queue_limit=service.queue_limit,
             long_after=service.long_after,
         )
+        self.ledger.client.lifetime = service.key_lifetime
+        self.ledger.replica.lifetime = service.key_lifetime
         if self.engine is not None:
             self.engine.configuration.idle_timeout = service.idle_timeout
 
@@ -239,7 +260,7 @@
     :raises OSError: when an address cannot be bound or a file not be read
     """
     sealed = DatagramSocket(own.sealed)
-    peers = PeerLinks(settings.name, STEERING_CODEC, link_keys, report)
+    peers = PeerLinks(own.target, PEER_CODEC, link_keys, report)
     target = Target(
         name=own.target,
         service=own.service,
@@ -255,8 +276,9 @@
     )
     flows = FlowService(owner, keys, sealed, peers, metrics)
     scheduler = Scheduler(SchedulerSettings(own.slots), time.monotonic())
-    requests = RequestService(scheduler, own.target_address, metrics)
-    role = AgentRole(own, target, metrics, flows, requests)
+    ledger = build_ledger(target, peers)
+    requests = RequestService(scheduler, ledger, own.target_address, metrics)
+    role = AgentRole(own, target, metrics, flows, requests, ledger)
     role.engine = Engine(
         configuration=configure_quic(
             own.certificate, own.private_key, IDLE_TIMEOUT
@@ -271,17 +293,31 @@
     role.subscriber = build_subscriber(
         settings.name, settings.control, link_keys, report, role.apply
     )
+    ledger.measure_freshness = role.subscriber.measure_freshness
     role.subscriber.announce(target=target)
     supervisor.supervise('sealed', partial(sealed.serve, flows.receive_sealed))
     supervisor.supervise('flows', flows.run)
     supervisor.supervise('peers', partial(peers.serve, role.receive_message))
     supervisor.supervise('idle links', peers.sweep)
+    supervisor.supervise('ledger', ledger.run)
     supervisor.supervise('requests', requests.run)
     supervisor.supervise('keepalive', role.keep_alive)
     supervisor.supervise('subscriber', role.subscriber.run)
     return role
 
 
+def build_ledger(target: Target, peers: PeerLinks) -> LedgerService:
+    """Return an agent's part in the ledger, with no memory of old keys."""
+    lifetime = KEY_LIFETIME
+    client = LedgerClient(
+        target.name, target.incarnation, lifetime, History(lifetime)
+    )
+    replica = LedgerReplica(
+        target.name, target.incarnation, time.time(), lifetime
+    )
+    return LedgerService(client, replica, peers)
+
+
 def derive_reset_key(link_keys: LinkKeys) -> bytes:
     """Return the key of stateless resets, equal at every agent."""
     keyed = hashlib.blake2b(key=link_keys.current, person=b'reset tokens')
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/subscriber.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/subscriber.py
@@ -89,6 +89,10 @@
         """Return what is known of the age of the published state."""
         return self.subscription.find_condition(time.monotonic())
 
+    def measure_freshness(self) -> float:
+        """Return the age of the last proof of a quorum, in seconds."""
+        return self.subscription.measure_freshness(time.monotonic())
+
     async def _wait_for_event(self) -> SubscriptionEvent:
         try:
             async with asyncio.timeout(TICK_INTERVAL):
