--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/machine.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/machine.py
@@ -57,12 +57,12 @@
         """Encode the whole state."""
         return encode_state(self.state)
 
-    def restore(self, index: int, snapshot: bytes) -> None:
+    def restore(self, snapshot: bytes) -> None:
         """Replace the whole state.
 
         :raises ValueError: when the snapshot can't be decoded
         """
-        state = decode_state(snapshot, f'snapshot at {index}')
+        state = decode_state(snapshot, 'snapshot')
         if not isinstance(state.value_or(None), State):
             raise ValueError(str(state.failure()))
         self.holder.restart(state.unwrap())
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replication.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replication.py
@@ -19,7 +19,7 @@
     def take_snapshot(self) -> bytes:
         """Encode the whole state, as of the last command applied."""
 
-    def restore(self, index: int, snapshot: bytes) -> None:
+    def restore(self, snapshot: bytes) -> None:
         """Replace the whole state by that of a snapshot."""
 
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/role.py
@@ -12,8 +12,6 @@
 from pistachiohook_core.membership.subscription import FRESHNESS_BOUND
 from pistachiohook_core.subscription_messages import SUBSCRIPTION_CODEC
 from returns.result import Failure as Failed
-from returns.result import Result
-from returns.result import Success
 
 from ..endpoints import Health
 from ..links import LinkServer
@@ -26,12 +24,12 @@
 
 if TYPE_CHECKING:
     from pistachiohook_core.addresses import Address
-    from pistachiohook_core.failures import Failure
     from tornado.httpserver import HTTPServer
 
     from ..keys import LinkKeys
     from ..logs import Report
     from ..settings import ControlSettings
+    from ..settings import Settings
     from ..supervisor import Supervisor
     from .replication import Replicator
 
@@ -58,46 +56,46 @@
         reason = f'leader {leader}, quorum proved {freshness:.1f} s ago'
         return Health(freshness <= FRESHNESS_BOUND, reason)
 
-    def close(self) -> None:
-        """Take no more connections."""
+    async def shut_down(self) -> None:
+        """Take no more connections; requests in progress are answered."""
         self.api.stop()
+        await self.api.close_all_connections()
         self.links.close()
 
 
 async def run_control(
-    name: str,
-    settings: ControlSettings,
-    supervisor: Supervisor,
+    settings: Settings,
+    table: ControlSettings,
     keys: LinkKeys,
+    supervisor: Supervisor,
     report: Report,
-) -> Result[ControlRole, Failure]:
+) -> ControlRole:
     """Start the tasks of the control role below a supervisor.
 
-    :param name: name of the instance
-    :param settings: the table ``control_instance``
-    :param supervisor: keeps the tasks running
+    :param settings: settings of the process
+    :param table: its table ``control_instance``
     :param keys: keys of the links
+    :param supervisor: keeps the tasks running
     :param report: logs an event
-    :returns: the running role, or why it could not start
+    :raises ValueError: when the token file can't be read
     :raises OSError: when an address or a file can't be used
     """
-    tokens = read_tokens(Path(settings.tokens_file))
+    name = settings.name
+    tokens = read_tokens(Path(table.tokens_file))
     if isinstance(tokens, Failed):
-        return Failed(tokens.failure())
+        raise ValueError(str(tokens.failure()))
     holder = Holder(name, LeaseTable(name, time.monotonic()))
     machine = ControlMachine(holder, report)
-    replicator = SolitaryReplicator(name, Path(settings.data_folder), machine)
+    replicator = SolitaryReplicator(name, Path(table.data_folder), machine)
     replicator.open()
     links = LinkServer(SUBSCRIPTION_CODEC, keys, report)
-    link = links.listen(settings.link)
+    link = links.listen(table.link)
     server = NodeServer(holder, replicator, links, report)
-    administration = Administration(
-        name, settings.members, machine, replicator
-    )
-    api = serve_api(settings.api, administration, tokens.unwrap(), report)
+    administration = Administration(name, table.members, machine, replicator)
+    api = serve_api(table.api, administration, tokens.unwrap(), report)
     supervisor.supervise('replicator', replicator.run)
     supervisor.supervise('nodes', server.serve)
     supervisor.supervise('leases', server.watch)
     supervisor.supervise('reads', server.prove)
     supervisor.supervise('reports', server.write)
-    return Success(ControlRole(replicator, links, link, api))
+    return ControlRole(replicator, links, link, api)
