--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/composition.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/composition.py
@@ -18,6 +18,7 @@
 
 from .agent.role import start_agent
 from .balancer.role import start_balancer
+from .control.role import run_control
 from .endpoints import Health
 from .endpoints import serve_endpoints
 from .keys import read_keys
@@ -102,6 +103,11 @@
             settings, settings.agent, keys, supervisor, metrics, report
         )
         return Role(agent.find_health, agent.shut_down)
+    if settings.control_instance is not None:
+        control = await run_control(
+            settings, settings.control_instance, keys, supervisor, report
+        )
+        return Role(control.find_health, control.shut_down)
     raise ValueError(f'no table for the role {settings.role}')
 
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/__init__.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/__init__.py
@@ -1,1 +1,1 @@
-"""The control role."""
+"""Control role: configuration and membership, replicated."""
