Replicate control through Raft, and forward proposals to the leader

Any control instance takes a command; the leader writes it, and an attempt that failed is made again for a stated time, since each command may be applied twice without harm. The single-file replicator is gone.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/administration.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/administration.py
@@ -5,7 +5,6 @@
 import time
 from typing import Any
 from typing import TYPE_CHECKING
-from typing import TypeVar
 
 import attrs
 from pistachiohook_core.configuration.check import check_objects
@@ -45,6 +44,7 @@
 from returns.result import Success
 
 from .machine import encode_command
+from .replicator import UNKNOWN_OUTCOME
 
 if TYPE_CHECKING:
     from pistachiohook_core.configuration.objects import ObjectSet
@@ -54,9 +54,14 @@
 
     from ..settings import MemberSettings
     from .machine import ControlMachine
+    from .proposals import Proposer
     from .replication import Replicator
 
-_Document = TypeVar('_Document')
+#: Time in which a command is proposed again when it fails, in seconds.
+PROPOSE_PATIENCE = 8.0
+
+#: Largest age that is shown, in seconds.
+FRESHNESS_SHOWN_MAX = 86_400.0
 
 
 @attrs.define
@@ -66,13 +71,15 @@
     :param instance: name of the control instance
     :param members: control instances that the settings name
     :param machine: the replicated state machine
-    :param replicator: writes and reads linearizably
+    :param replicator: reads linearizably
+    :param proposer: writes
     """
 
     instance: str
     members: tuple[MemberSettings, ...]
     machine: ControlMachine
     replicator: Replicator
+    proposer: Proposer
 
     async def read_source(self, *, stale: bool) -> Result[Source, Problem]:
         """Make the applied state current, before it is read.
@@ -86,7 +93,8 @@
                 _describe_failure(ProblemName.NO_QUORUM, barrier.failure())
             )
         freshness = self.replicator.freshness(time.monotonic())
-        return Success(Source(self.instance, linearized, freshness))
+        shown = min(freshness, FRESHNESS_SHOWN_MAX)
+        return Success(Source(self.instance, linearized, shown))
 
     def show(self, source: Source) -> ConfigurationDocument:
         """Return the configuration."""
@@ -217,10 +225,17 @@
     async def _propose(
         self, command: Command, change_id: str = ''
     ) -> Result[Outcome, Problem]:
-        result = await self.replicator.propose(encode_command(command))
+        result = await self.proposer.propose(
+            encode_command(command), PROPOSE_PATIENCE
+        )
         if isinstance(result, Failed):
+            failure = result.failure()
+            unknown = failure.reason == UNKNOWN_OUTCOME
             problem = _describe_failure(
-                ProblemName.UNKNOWN_OUTCOME, result.failure()
+                ProblemName.UNKNOWN_OUTCOME
+                if unknown
+                else ProblemName.NO_QUORUM,
+                failure,
             )
             return Failed(attrs.evolve(problem, change_id=change_id))
         decoded = OUTCOME_CODEC.decode(result.unwrap(), 'replicator')
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/nodes.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/nodes.py
@@ -23,6 +23,7 @@
 
     from ..links import LinkServer
     from ..logs import Report
+    from .proposals import Proposer
     from .replication import Replicator
 
 #: Time between two looks at leases and news, in seconds.
@@ -37,13 +38,15 @@
     """State of the tasks between the nodes and the replicated state.
 
     :param holder: decides what is sent and proposed
-    :param replicator: writes reports and reads linearizably
+    :param replicator: reads linearizably
+    :param proposer: writes reports
     :param links: listening end of the nodes' connections
     :param report: logs an event
     """
 
     holder: Holder
     replicator: Replicator
+    proposer: Proposer
     links: LinkServer
     report: Report
     _unproved: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -95,7 +98,7 @@
             if command is None:
                 await asyncio.sleep(TICK_INTERVAL / 2)
                 continue
-            result = await self.replicator.propose(encode_command(command))
+            result = await self.proposer.propose(encode_command(command))
             if is_successful(result):
                 self.holder.settle(command)
                 continue
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/role.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from functools import partial
 from pathlib import Path
+import secrets
 import time
 from typing import TYPE_CHECKING
 
@@ -15,11 +17,16 @@
 
 from ..endpoints import Health
 from ..links import LinkServer
+from ..settings import MemberSettings
 from .administration import Administration
 from .api import serve_api
+from .disk import open_data_folder
 from .machine import ControlMachine
 from .nodes import NodeServer
-from .solitary import SolitaryReplicator
+from .peers import connect_peers
+from .proposals import Proposer
+from .replicator import Replicator
+from .replicator import StateMachine
 from .tokens import read_tokens
 
 if TYPE_CHECKING:
@@ -31,7 +38,8 @@
     from ..settings import ControlSettings
     from ..settings import Settings
     from ..supervisor import Supervisor
-    from .replication import Replicator
+    from .disk import DataFolder
+    from .peers import Peers
 
 
 @attrs.define
@@ -42,12 +50,16 @@
     :param links: listening end of the nodes' connections
     :param link: where nodes connect
     :param api: the administration API
+    :param peers: connections to the other instances
+    :param folder: data folder
     """
 
     replicator: Replicator
     links: LinkServer
     link: Address
     api: HTTPServer
+    peers: Peers
+    folder: DataFolder
 
     def find_health(self) -> Health:
         """Return whether this instance has a quorum behind it."""
@@ -61,6 +73,7 @@
         self.api.stop()
         await self.api.close_all_connections()
         self.links.close()
+        self.peers.close()
 
 
 async def run_control(
@@ -84,18 +97,37 @@
     tokens = read_tokens(Path(table.tokens_file))
     if isinstance(tokens, Failed):
         raise ValueError(str(tokens.failure()))
+    members = table.members or (MemberSettings(name, table.peer, table.api),)
+    folder = open_data_folder(Path(table.data_folder))
     holder = Holder(name, LeaseTable(name, time.monotonic()))
     machine = ControlMachine(holder, report)
-    replicator = SolitaryReplicator(name, Path(table.data_folder), machine)
-    replicator.open()
+    peers = connect_peers(name, table.peer, members, keys, report)
+    replicator = Replicator(
+        name=name,
+        addresses={member.name: str(member.peer) for member in members},
+        files=folder.files,
+        machine=StateMachine(
+            machine.apply, machine.restore, machine.take_snapshot
+        ),
+        send=peers.send,
+        report=report,
+        birth=secrets.token_hex(8),
+        seed=secrets.randbits(32),
+    )
+    proposer = Proposer(name, replicator, peers.send)
     links = LinkServer(SUBSCRIPTION_CODEC, keys, report)
     link = links.listen(table.link)
-    server = NodeServer(holder, replicator, links, report)
-    administration = Administration(name, table.members, machine, replicator)
+    server = NodeServer(holder, replicator, proposer, links, report)
+    administration = Administration(
+        name, members, machine, replicator, proposer
+    )
     api = serve_api(table.api, administration, tokens.unwrap(), report)
     supervisor.supervise('replicator', replicator.run)
+    supervisor.supervise('connections', peers.keep_connected)
+    serve_peers = partial(peers.serve, proposer, replicator.receive)
+    supervisor.supervise('peers', serve_peers)
     supervisor.supervise('nodes', server.serve)
     supervisor.supervise('leases', server.watch)
     supervisor.supervise('reads', server.prove)
     supervisor.supervise('reports', server.write)
-    return ControlRole(replicator, links, link, api)
+    return ControlRole(replicator, links, link, api, peers, folder)
