Add the operators' commands on configuration and nodes

check, apply, show, status, targets, drain and control members, each through the administration API with the exit statuses 0 to 3. A change is sent again with its change id when its answer was lost.

--- a/packages/pistachiohook-cli/src/pistachiohook_cli/main.py
+++ b/packages/pistachiohook-cli/src/pistachiohook_cli/main.py
@@ -2,6 +2,57 @@
 
 from __future__ import annotations
 
+import sys
+
+from cyclopts import App
+from cyclopts import CycloptsError
+
+from .configuration import apply
+from .configuration import check
+from .configuration import show
+from .nodes import control_members
+from .nodes import drain
+from .nodes import status
+from .nodes import targets
+from .options import BadInputError
+from .statuses import Status
+
+app = App(
+    name='pistachiohook',
+    help=(
+        'Administer the load balancer.\n\n'
+        'Exit statuses: 0 done, 1 refused, 2 usage or bad input, 3 unknown '
+        'outcome; then the same change is to be sent again.'
+    ),
+)
+control = App(name='control', help='Look at the control instances.')
+app.command(control)
+for command in (check, apply, show, status, targets, drain):
+    app.command(command)
+control.command(control_members, name='members')
+
 
 def main() -> None:
-    """Run one command."""
+    """Run one command and exit with its status."""
+    sys.exit(run(sys.argv[1:]))
+
+
+def run(arguments: list[str]) -> int:
+    """Run one command.
+
+    :param arguments: what follows the name of the program
+    :returns: exit status, one of :class:`~.statuses.Status`
+    """
+    try:
+        result = app(arguments, exit_on_error=False, result_action=_pass_on)
+    except (CycloptsError, BadInputError):
+        return Status.BAD_INPUT
+    return int(result or Status.DONE)
+
+
+def _pass_on(result: object) -> object:
+    return result
+
+
+if __name__ == '__main__':
+    main()
