Publish when a service was formed, and grant no key before clocks agree

The first order of each flow heard unknown-outcome: its key was older than the agents' memory of memberships, and nothing told them that nobody can have granted a key before the service had a target. Ruled out: the links (all messages arrived) and the bodies' digests. Control now publishes when the first target was announced, on its own clock; the ledger grants nothing until the bound on clock skew has passed since, for else a membership that ended within the skew would be overlooked. The scenario of a cold service expected a grant after 3 s; it now expects the order to wait at 3 s and the grant after the skew, since a grant at 3 s rested on clocks that agree.

--- a/packages/pistachiohook-core/src/pistachiohook_core/configuration/state.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/configuration/state.py
@@ -284,7 +284,9 @@
         objects=objects,
         numbers=numbers,
         following=max(state.following, *(n + 1 for n in numbers.values()), 1),
-        services=resolve_services(objects, numbers),
+        services=_keep_formation(
+            state.services, resolve_services(objects, numbers)
+        ),
         targets={
             target.name: _mark_drained(state.drained, target)
             for target in _list_targets(state)
@@ -293,6 +295,29 @@
     )
 
 
+def _keep_formation(
+    before: dict[str, Service], after: dict[str, Service]
+) -> dict[str, Service]:
+    known = {one.number: one.formed_at for one in before.values()}
+    return {
+        name: attrs.evolve(one, formed_at=known.get(one.number, 0.0))
+        for name, one in after.items()
+    }
+
+
+def _note_formation(state: State) -> State:
+    """Note when a service has its first target."""
+    announced = {target.service for target in state.targets.values()}
+    formed = {
+        name: attrs.evolve(one, formed_at=state.time)
+        for name, one in state.services.items()
+        if name in announced and not one.formed_at
+    }
+    if not formed:
+        return state
+    return attrs.evolve(state, services={**state.services, **formed})
+
+
 def _list_targets(state: State) -> Iterable[Target]:
     return (
         target
@@ -451,6 +476,7 @@
 
 def _publish(before: State, after: State, outcome: Outcome) -> Step:
     """Compare what is published, and count a revision when it differs."""
+    after = _note_formation(after)
     services, gone_services = _compare(before.services, after.services)
     targets, gone_targets = _compare(before.targets, after.targets)
     balancers, gone_balancers = _compare(before.balancers, after.balancers)
--- a/packages/pistachiohook-core/src/pistachiohook_core/published.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/published.py
@@ -32,6 +32,8 @@
     :param key_lifetime: how long an idempotency key is kept, in seconds
     :param latency_objective: bound of the latency objective, in seconds
     :param objective_share: share of requests within the objectives
+    :param formed_at: when its first target was announced, in seconds since
+        the epoch on the clock of control; 0 before
     """
 
     name: str
@@ -44,6 +46,7 @@
     key_lifetime: float = 600.0
     latency_objective: float = 0.5
     objective_share: float = 0.999
+    formed_at: float = 0.0
 
 
 @attrs.frozen
--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/history.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/history.py
@@ -97,6 +97,16 @@
             )
         )
 
+    def is_open(self, now: float) -> bool:
+        """Return whether the ledger is old enough for a first grant.
+
+        Until then a membership may end that an agent whose clock differs
+        would take for one before the ledger came into being.
+        """
+        if self.formed_at is None:
+            return True
+        return now >= self.formed_at + CLOCK_SKEW_MAX
+
     def covers(self, issued: float) -> bool:
         """Return whether no membership since a key's issue was missed.
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/ledger_client.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/ledger_client.py
@@ -289,6 +289,7 @@
     def _is_current(self, inquiry: _Inquiry, now: float) -> bool:
         return (
             self.history.is_fresh(now)
+            and self.history.is_open(now)
             and self.history.covers(inquiry.issued)
             and now <= inquiry.issued + self.lifetime
         )
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
@@ -202,6 +202,9 @@
         )
         self.ledger.client.lifetime = service.key_lifetime
         self.ledger.replica.lifetime = service.key_lifetime
+        formed_at = service.formed_at or None
+        self.ledger.client.history.formed_at = formed_at
+        self.ledger.replica.formed_at = formed_at
         if self.engine is not None:
             self.engine.configuration.idle_timeout = service.idle_timeout
 
--- a/tests/core/requests_ledger/ledger.feature
+++ b/tests/core/requests_ledger/ledger.feature
@@ -143,8 +143,10 @@
     Then the answer to a is unknown outcome
     And the order was granted 0 times
 
-  Scenario: A cold service grants once its membership lasted for the lease
+  Scenario: A cold service grants once clocks that differ agree on its start
     Given 3 agents of a service that was formed just now
     When 3 s pass
     And the order is sent to a
+    Then the answer to a is waiting
+    When 3 s pass
     Then the answer to a is granted
