Run the whole path in the demo

Three balancers, one control instance, five agents with their targets, the fabric and the callers as processes on loopback; one balancer is killed with SIGKILL while orders, feeds and uploads are in progress. The objects go in over the administration API until the command line has apply.

--- a/packages/pistachiohook-standins/src/pistachiohook_standins/caller.py
+++ b/packages/pistachiohook-standins/src/pistachiohook_standins/caller.py
@@ -97,7 +97,7 @@
     :param seed: of the uploads
     """
 
-    ca: Path
+    ca: str
     work: list[Work]
     targets: list[str] = attrs.field(factory=list)
     seed: int = 1
@@ -112,7 +112,7 @@
     :param draws: source of randomness
     """
 
-    ca: Path
+    ca: str
     tally: Tally
     draws: random.Random
 
--- a/packages/pistachiohook-standins/src/pistachiohook_standins/flows.py
+++ b/packages/pistachiohook-standins/src/pistachiohook_standins/flows.py
@@ -20,7 +20,6 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from collections.abc import Mapping
-    from pathlib import Path
 
     from aioquic.h3.events import H3Event
     from aioquic.quic.events import QuicEvent
@@ -209,7 +208,7 @@
                 await self.ping()
 
 
-async def open_flow(address: Endpoint, authority: str, ca: Path) -> Flow:
+async def open_flow(address: Endpoint, authority: str, ca: str) -> Flow:
     """Connect and check the certificate.
 
     :param address: service address
@@ -223,7 +222,7 @@
         server_name=authority,
         idle_timeout=IDLE_TIMEOUT,
     )
-    configuration.load_verify_locations(str(ca))
+    configuration.load_verify_locations(ca)
     loop = asyncio.get_running_loop()
     _, flow = await loop.create_datagram_endpoint(
         lambda: Flow(QuicConnection(configuration=configuration)),
--- a/tests/standins/path/steps/path_steps.py
+++ b/tests/standins/path/steps/path_steps.py
@@ -111,7 +111,7 @@
 )
 def start_service(context, loss, reordering, duplication):
     context.fault = ''
-    context.ca = make_certificates(context.path, [AUTHORITY])
+    context.ca = str(make_certificates(context.path, [AUTHORITY]))
     context.runner.run(start_path(context, loss, reordering, duplication))
 
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import json
-import os
 from pathlib import Path
 import secrets
 import shutil
 import socket
-import subprocess
 import sys
 from typing import Any
+import urllib.error
+import urllib.request
 
 import attrs
+from pistachiohook_core.configuration.documents import ChangeRequest
+from pistachiohook_core.configuration.documents import encode_document
+from pistachiohook_core.configuration.folder import read_folder
 from pistachiohook_standins.certificates import make_certificates
 from processes import ConditionError
 from processes import fetch_json
@@ -40,9 +43,6 @@
 #: Certificates that the example's agents show.
 AUTHORITIES = ('soapfloor.example', 'intake.example')
 
-#: Tokens of the administration API.
-TOKENS = ''
-
 #: Module of the daemon.
 DAEMON = 'pistachiohook_daemon.main'
 
@@ -72,11 +72,13 @@
     :param folder: run folder
     :param settings: copy of the example for the claimed network
     :param network: start of the loopback addresses
+    :param token: bearer token of an operator
     """
 
     folder: Path
     settings: Path
     network: str
+    token: str = attrs.field(repr=False)
 
     def list_names(self, kind: str) -> list[str]:
         """Return the names of the settings files of one kind."""
@@ -139,8 +141,9 @@
         copy.write_text(text.replace(RUN_FOLDER, str(folder)))
     make_certificates(folder, AUTHORITIES)
     write_secret(folder / 'link.keys', secrets.token_hex(KEY_LENGTH) + '\n')
-    write_secret(folder / 'tokens.toml', TOKENS)
-    return Place(folder, settings, network)
+    token = secrets.token_hex(KEY_LENGTH)
+    write_secret(folder / 'tokens', f'demo operator {token}\n')
+    return Place(folder, settings, network, token)
 
 
 def write_secret(path: Path, text: str) -> None:
@@ -204,19 +207,19 @@
 
 
 def apply_configuration(place: Place) -> None:
-    """Apply the example's objects as an operator does."""
-    command = [sys.executable, '-m', 'pistachiohook_cli.main', 'apply']
-    command += [str(place.settings / 'configuration')]
-    environment = {
-        **os.environ,
-        'PISTACHIOHOOK_CONTROL': f'{place.network}2.1:8090',
-    }
-    finished = subprocess.run(
-        command, capture_output=True, check=False, env=environment, text=True
+    """Apply the example's objects over the administration API."""
+    content = read_folder(place.settings / 'configuration')
+    change = ChangeRequest(0, secrets.token_hex(8), content.objects)
+    request = urllib.request.Request(
+        f'http://{place.network}2.1:8090/v1/configuration',
+        data=encode_document(change),
+        headers={'Authorization': f'Bearer {place.token}'},
+        method='PUT',
     )
-    if finished.returncode:
-        text = finished.stdout + finished.stderr
-        raise ConditionError(f'apply ended with {finished.returncode}: {text}')
+    try:
+        urllib.request.urlopen(request, timeout=START_TIMEOUT).close()
+    except urllib.error.HTTPError as error:
+        raise ConditionError(f'apply: {error.read()!r}') from error
 
 
 def run_callers(place: Place, processes: Processes) -> dict[str, Any]:
@@ -232,7 +235,7 @@
     )
     wait_until(
         'orders, feeds and uploads in progress',
-        lambda: is_under_way(place),
+        lambda: is_under_way(place, processes),
         START_TIMEOUT,
     )
     processes.kill(VICTIM)
@@ -245,8 +248,12 @@
     return counts
 
 
-def is_under_way(place: Place) -> bool:
-    """Tell whether every kind of work is in progress."""
+def is_under_way(place: Place, processes: Processes) -> bool:
+    """Tell whether every kind of work is in progress.
+
+    :raises ConditionError: when a process has ended by itself
+    """
+    refuse_ended(processes)
     targets = [
         fetch_json(f'http://{place.network}3.{number}:8000/runs')
         for number in range(1, 6)
