--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/composition.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/composition.py
@@ -5,7 +5,6 @@
 import asyncio
 from pathlib import Path
 import signal
-from typing import NoReturn
 from typing import TYPE_CHECKING
 
 import attrs
@@ -32,8 +31,6 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from pistachiohook_core.failures import Failure
-
     from .keys import LinkKeys
     from .logs import Report
     from .settings import Settings
@@ -107,22 +104,13 @@
         )
         return Role(agent.find_health, agent.shut_down)
     if settings.control_instance is not None:
-        started = await run_control(
-            settings.name,
-            settings.control_instance,
-            supervisor,
-            keys,
-            report,
+        control = await run_control(
+            settings, settings.control_instance, keys, supervisor, report
         )
-        control = started.alt(_raise_failure).unwrap()
         return Role(control.find_health, control.shut_down)
     raise ValueError(f'no table for the role {settings.role}')
 
 
-def _raise_failure(failure: Failure) -> NoReturn:
-    raise ValueError(str(failure))
-
-
 async def _run_until_stopped(
     supervisor: Supervisor, role: Role, report: Report
 ) -> int:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/role.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from functools import partial
 from pathlib import Path
+import secrets
 import time
 from typing import TYPE_CHECKING
 
@@ -12,28 +14,32 @@
 from pistachiohook_core.membership.subscription import FRESHNESS_BOUND
 from pistachiohook_core.subscription_messages import SUBSCRIPTION_CODEC
 from returns.result import Failure as Failed
-from returns.result import Result
-from returns.result import Success
 
 from ..endpoints import Health
 from ..links import LinkServer
+from ..settings import MemberSettings
 from .administration import Administration
 from .api import serve_api
+from .disk import open_data_folder
 from .machine import ControlMachine
 from .nodes import NodeServer
-from .solitary import SolitaryReplicator
+from .peers import connect_peers
+from .proposals import Proposer
+from .replicator import Replicator
+from .replicator import StateMachine
 from .tokens import read_tokens
 
 if TYPE_CHECKING:
     from pistachiohook_core.addresses import Address
-    from pistachiohook_core.failures import Failure
     from tornado.httpserver import HTTPServer
 
     from ..keys import LinkKeys
     from ..logs import Report
     from ..settings import ControlSettings
+    from ..settings import Settings
     from ..supervisor import Supervisor
-    from .replication import Replicator
+    from .disk import DataFolder
+    from .peers import Peers
 
 
 @attrs.define
@@ -44,12 +50,16 @@
     :param links: listening end of the nodes' connections
     :param link: where nodes connect
     :param api: the administration API
+    :param peers: connections to the other instances
+    :param folder: data folder
     """
 
     replicator: Replicator
     links: LinkServer
     link: Address
     api: HTTPServer
+    peers: Peers
+    folder: DataFolder
 
     def find_health(self) -> Health:
         """Return whether this instance has a quorum behind it."""
@@ -59,45 +69,65 @@
         return Health(freshness <= FRESHNESS_BOUND, reason)
 
     async def shut_down(self) -> None:
-        """Take no more connections."""
+        """Take no more connections; requests in progress are answered."""
         self.api.stop()
+        await self.api.close_all_connections()
         self.links.close()
+        self.peers.close()
 
 
 async def run_control(
-    name: str,
-    settings: ControlSettings,
-    supervisor: Supervisor,
+    settings: Settings,
+    table: ControlSettings,
     keys: LinkKeys,
+    supervisor: Supervisor,
     report: Report,
-) -> Result[ControlRole, Failure]:
+) -> ControlRole:
     """Start the tasks of the control role below a supervisor.
 
-    :param name: name of the instance
-    :param settings: the table ``control_instance``
-    :param supervisor: keeps the tasks running
+    :param settings: settings of the process
+    :param table: its table ``control_instance``
     :param keys: keys of the links
+    :param supervisor: keeps the tasks running
     :param report: logs an event
-    :returns: the running role, or why it could not start
+    :raises ValueError: when the token file can't be read
     :raises OSError: when an address or a file can't be used
     """
-    tokens = read_tokens(Path(settings.tokens_file))
+    name = settings.name
+    tokens = read_tokens(Path(table.tokens_file))
     if isinstance(tokens, Failed):
-        return Failed(tokens.failure())
+        raise ValueError(str(tokens.failure()))
+    members = table.members or (MemberSettings(name, table.peer, table.api),)
+    folder = open_data_folder(Path(table.data_folder))
     holder = Holder(name, LeaseTable(name, time.monotonic()))
     machine = ControlMachine(holder, report)
-    replicator = SolitaryReplicator(name, Path(settings.data_folder), machine)
-    replicator.open()
+    peers = connect_peers(name, table.peer, members, keys, report)
+    replicator = Replicator(
+        name=name,
+        addresses={member.name: str(member.peer) for member in members},
+        files=folder.files,
+        machine=StateMachine(
+            machine.apply, machine.restore, machine.take_snapshot
+        ),
+        send=peers.send,
+        report=report,
+        birth=secrets.token_hex(8),
+        seed=secrets.randbits(32),
+    )
+    proposer = Proposer(name, replicator, peers.send)
     links = LinkServer(SUBSCRIPTION_CODEC, keys, report)
-    link = links.listen(settings.link)
-    server = NodeServer(holder, replicator, links, report)
+    link = links.listen(table.link)
+    server = NodeServer(holder, replicator, proposer, links, report)
     administration = Administration(
-        name, settings.members, machine, replicator
+        name, members, machine, replicator, proposer
     )
-    api = serve_api(settings.api, administration, tokens.unwrap(), report)
+    api = serve_api(table.api, administration, tokens.unwrap(), report)
     supervisor.supervise('replicator', replicator.run)
+    supervisor.supervise('connections', peers.keep_connected)
+    serve_peers = partial(peers.serve, proposer, replicator.receive)
+    supervisor.supervise('peers', serve_peers)
     supervisor.supervise('nodes', server.serve)
     supervisor.supervise('leases', server.watch)
     supervisor.supervise('reads', server.prove)
     supervisor.supervise('reports', server.write)
-    return Success(ControlRole(replicator, links, link, api))
+    return ControlRole(replicator, links, link, api, peers, folder)
