Hand requests over between agents, and announce weights by load

A drained or full agent had nowhere to send a request that has not started, so a flow could not live through a drain with new requests on it. A refusal of the peer is not-run; a lost answer is an unknown outcome.

--- a/packages/pistachiohook-core/src/pistachiohook_core/published.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/published.py
@@ -62,6 +62,7 @@
     :param slots: requests that run at once
     :param state: whether it takes new work
     :param weight: share of new flows, from 0 to :data:`WEIGHT_FULL`
+    :param hand_over: where other agents hand requests over (HTTP/1.1)
     """
 
     name: str
@@ -73,6 +74,7 @@
     slots: int
     state: TargetState = TargetState.SERVING
     weight: int = 100
+    hand_over: Address | None = None
 
 
 @attrs.frozen
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/answers.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/answers.py
@@ -8,8 +8,8 @@
 import msgspec
 from pistachiohook_core.requests.scheduler_messages import RefusalReason
 
-from .exchange import Exchange
 from .exchange import Header
+from .exchange import RequestExchange
 from .target import Receiver
 from .target import TargetResponse
 
@@ -99,7 +99,7 @@
     return msgspec.msgpack.decode(data, type=StoredAnswer)
 
 
-def send_answer(exchange: Exchange, answer: StoredAnswer) -> None:
+def send_answer(exchange: RequestExchange, answer: StoredAnswer) -> None:
     """Send a whole answer to the caller."""
     if exchange.responded:
         exchange.abort()
@@ -138,7 +138,7 @@
     :param whole: whether the answer is held back in any case
     """
 
-    exchange: Exchange
+    exchange: RequestExchange
     whole: bool
     _held: TargetResponse | None = None
     _body: bytearray = attrs.field(factory=bytearray)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/exchange.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 import attrs
@@ -36,6 +37,41 @@
     """The caller no longer waits, or its flow has ended."""
 
 
+class RequestExchange(Protocol):
+    """One request, on a flow or handed over by a peer."""
+
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    has_body: bool
+    gone: asyncio.Event
+    responded: bool
+
+    @property
+    def flow_name(self) -> str:
+        """Name of the flow, for fairness between flows."""
+
+    def find_header(self, name: str) -> str | None:
+        """Return the value of the first header field of that name."""
+
+    def read_body(self) -> AsyncIterator[bytes]:
+        """Yield the request body."""
+
+    def respond(
+        self, status: int, headers: tuple[Header, ...], ended: bool = False
+    ) -> None:
+        """Send the head of the response."""
+
+    async def send_body(self, chunk: bytes, ended: bool = False) -> None:
+        """Send a part of the response body when there is room for it."""
+
+    def send_rest(self, chunk: bytes) -> None:
+        """Send the end of the response body."""
+
+    def abort(self) -> None:
+        """Cut the response, so that it never passes as whole."""
+
+
 @attrs.define(eq=False)
 class Exchange:
     """State of one request.
@@ -62,6 +98,11 @@
     body_ended: bool = False
     _chunks: asyncio.Queue[bytes] = attrs.field(factory=asyncio.Queue)
 
+    @property
+    def flow_name(self) -> str:
+        """Name of the flow, for fairness between flows."""
+        return str(self.flow.key.caller)
+
     def find_header(self, name: str) -> str | None:
         """Return the value of the first header field of that name."""
         values = (one.value for one in self.headers if one.name == name)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/requests.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/requests.py
@@ -14,10 +14,16 @@
 from pistachiohook_core.requests.ledger_client import KeyRefusal
 from pistachiohook_core.requests.ledger_client import Replay
 from pistachiohook_core.requests.scheduler_messages import Action
+from pistachiohook_core.requests.scheduler_messages import CancelAtPeer
 from pistachiohook_core.requests.scheduler_messages import CancelAtTarget
 from pistachiohook_core.requests.scheduler_messages import Event
 from pistachiohook_core.requests.scheduler_messages import Exposure
 from pistachiohook_core.requests.scheduler_messages import Finish
+from pistachiohook_core.requests.scheduler_messages import HandOver
+from pistachiohook_core.requests.scheduler_messages import HandOverAnswered
+from pistachiohook_core.requests.scheduler_messages import HandOverOutcome
+from pistachiohook_core.requests.scheduler_messages import PeerGone
+from pistachiohook_core.requests.scheduler_messages import PeerSlots
 from pistachiohook_core.requests.scheduler_messages import RefusalReason
 from pistachiohook_core.requests.scheduler_messages import Refuse
 from pistachiohook_core.requests.scheduler_messages import Request
@@ -45,8 +51,10 @@
 from .answers import StoredAnswer
 from .answers import UNKNOWN_OUTCOME
 from .exchange import CallerGoneError
-from .exchange import Exchange
 from .exchange import Header
+from .exchange import RequestExchange
+from .hand_over import Head
+from .hand_over import make_proof
 from .target import ask_target
 from .target import TargetFailure
 from .target import TargetRequest
@@ -58,9 +66,12 @@
 
     from pistachiohook_core.addresses import Address
     from pistachiohook_core.metrics import Metrics
+    from pistachiohook_core.published import Target
     from pistachiohook_core.requests.scheduler import Scheduler
+    from pistachiohook_core.requests.slot_messages import FreeSlotsReport
     from returns.result import Result
 
+    from ..keys import LinkKeys
     from .ledger import LedgerService
     from .ledger import Verdict
 
@@ -99,10 +110,12 @@
 
     :param body: the whole body of a request with a key
     :param granted: whether the ledger has granted the key to this agent
+    :param handed_over: whether a peer handed the request over
+    :param body_spent: whether a body that is not kept was sent to a peer
     """
 
     number: int
-    exchange: Exchange
+    exchange: RequestExchange
     ended: Callable[[], object]
     deadline: float
     arrived: float
@@ -110,6 +123,8 @@
     body: bytes = b''
     digest: bytes = b''
     granted: bool = False
+    handed_over: bool = False
+    body_spent: bool = False
     attempt: asyncio.Task[None] | None = None
 
     def count_left(self) -> float:
@@ -125,12 +140,15 @@
     :param ledger: grants idempotency keys
     :param target: HTTP/1.1 address of the target
     :param metrics: counts and durations
+    :param keys: the current one proves what is handed over
     """
 
     scheduler: Scheduler
     ledger: LedgerService
     target: Address
     metrics: Metrics
+    keys: LinkKeys
+    _peers: dict[str, Address | None] = attrs.field(factory=dict)
     _served: dict[int, _Served] = attrs.field(factory=dict)
     _numbers: itertools.count[int] = attrs.field(factory=itertools.count)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -142,18 +160,24 @@
             await asyncio.sleep(TICK_INTERVAL)
 
     def accept(
-        self, exchange: Exchange, ended: Callable[[], object]
+        self,
+        exchange: RequestExchange,
+        ended: Callable[[], object],
+        handed_over: bool = False,
     ) -> int | None:
         """Take a request that was read from a flow.
 
         :param exchange: the request
         :param ended: called when nothing about it follows
+        :param handed_over: whether a peer handed it over
         :returns: number of the request, nothing when it was refused at once
         """
         number = next(self._numbers)
         now = time.monotonic()
         deadline = now + _read_timeout(exchange)
-        served = _Served(number, exchange, ended, deadline, now)
+        served = _Served(
+            number, exchange, ended, deadline, now, handed_over=handed_over
+        )
         self._served[number] = served
         self.metrics.count('requests')
         served.key = exchange.find_header(KEY_HEADER) or ''
@@ -172,6 +196,30 @@
         if served is not None and not served.granted:
             self.handle(RequestCancelled(number))
 
+    def apply_peers(self, targets: tuple[Target, ...], own: str) -> None:
+        """Take over the published targets of the service.
+
+        :param targets: every target of the service
+        :param own: name of this agent's target
+        """
+        peers = {one.name: one.hand_over for one in targets if one.name != own}
+        for gone in set(self._peers) - set(peers):
+            self.handle(PeerGone(gone))
+        self._peers = peers
+
+    def take_report(self, report: FreeSlotsReport, near: bool) -> None:
+        """Take what a peer tells of its free slots."""
+        if report.target in self._peers:
+            slots = PeerSlots(
+                report.target, report.free, report.free_for_long, near
+            )
+            self.handle(slots)
+
+    def count_running(self) -> int:
+        """Return the number of requests that are at the target."""
+        attempts = (served.attempt for served in self._served.values())
+        return sum(one is not None and not one.done() for one in attempts)
+
     def count_open(self) -> int:
         """Return the number of requests in progress."""
         return len(self._served)
@@ -187,7 +235,11 @@
             served.attempt = self._begin_task(self._attempt(served))
         elif isinstance(action, Refuse):
             self._refuse(action)
-        elif isinstance(action, CancelAtTarget):
+        elif isinstance(action, HandOver):
+            served = self._served[action.id]
+            work = self._hand_over(served, action.peer)
+            served.attempt = self._begin_task(work)
+        elif isinstance(action, CancelAtTarget | CancelAtPeer):
             self._cancel_attempt(action.id)
         elif isinstance(action, Finish):
             self._finish(action.id)
@@ -221,14 +273,14 @@
         exchange = served.exchange
         request = Request(
             id=served.number,
-            flow=str(exchange.flow.key.caller),
+            flow=exchange.flow_name,
             route=_find_route(exchange),
             idempotent=exchange.method in REPEATABLE_METHODS,
             deadline=served.deadline,
             key=served.key,
             size=len(served.body) or _read_length(exchange),
         )
-        self.handle(RequestArrived(request))
+        self.handle(RequestArrived(request, served.handed_over))
 
     def _cancel_attempt(self, number: int) -> None:
         served = self._served.get(number)
@@ -284,7 +336,48 @@
             return refusal
         return describe_problem(KEY_PROBLEMS[verdict.reason])
 
+    async def _hand_over(self, served: _Served, peer: str) -> None:
+        relay = Relay(served.exchange, whole=False)
+        outcome = HandOverOutcome.UNKNOWN
+        try:
+            outcome = await self._ask_peer(served, relay, peer)
+        except CallerGoneError:
+            self.handle(RequestCancelled(served.number))
+            return
+        self.metrics.count(f'handed_over_{outcome.name.lower()}')
+        if outcome is HandOverOutcome.UNKNOWN and served.exchange.responded:
+            served.exchange.abort()
+            self.handle(RequestCancelled(served.number))
+        self.handle(HandOverAnswered(served.number, outcome))
+
+    async def _ask_peer(
+        self, served: _Served, relay: Relay, peer: str
+    ) -> HandOverOutcome:
+        target = self._peers.get(peer)
+        if target is None:
+            return HandOverOutcome.NOT_RUN
+        served.body_spent = served.exchange.has_body and not served.key
+        request = _make_request(served)
+        head = Head(request.method, request.path, peer)
+        proof = make_proof(head, self.keys, time.time())
+        request = attrs.evolve(request, headers=(*request.headers, proof))
+        answered = await ask_target(target, request, relay.receive())
+        if isinstance(answered, Failed):
+            seen = answered.failure().seen
+            return HandOverOutcome.UNKNOWN if seen else HandOverOutcome.NOT_RUN
+        held = relay.find_held()
+        if held is not None and is_refusal(held):
+            return HandOverOutcome.NOT_RUN
+        if held is not None:
+            send_answer(served.exchange, held)
+        else:
+            served.exchange.send_rest(b'')
+        return HandOverOutcome.ANSWERED
+
     async def _attempt(self, served: _Served) -> None:
+        if served.body_spent:
+            self.handle(TargetFailed(served.number, Exposure.NOT_SENT))
+            return
         try:
             if served.key and not await self._ask_ledger(served):
                 return
@@ -348,20 +441,24 @@
     async def _ask_target(
         self, served: _Served, relay: Relay
     ) -> Result[None, TargetFailure]:
-        exchange = served.exchange
-        left = served.count_left()
-        timeout = Header(TIMEOUT_HEADER, f'{left:.3f}')
-        kept = (one for one in exchange.headers if one.name != TIMEOUT_HEADER)
-        request = TargetRequest(
-            method=exchange.method,
-            path=exchange.path,
-            headers=(*kept, timeout),
-            body=_choose_body(served),
-            timeout=left,
-        )
+        request = _make_request(served)
         return await ask_target(self.target, request, relay.receive())
 
 
+def _make_request(served: _Served) -> TargetRequest:
+    exchange = served.exchange
+    left = served.count_left()
+    timeout = Header(TIMEOUT_HEADER, f'{left:.3f}')
+    kept = (one for one in exchange.headers if one.name != TIMEOUT_HEADER)
+    return TargetRequest(
+        method=exchange.method,
+        path=exchange.path,
+        headers=(*kept, timeout),
+        body=_choose_body(served),
+        timeout=left,
+    )
+
+
 def _choose_body(served: _Served) -> AsyncIterator[bytes] | None:
     if served.key:
         return _yield_whole(served.body)
@@ -374,17 +471,17 @@
         yield body
 
 
-def _digest_request(exchange: Exchange, body: bytes) -> bytes:
+def _digest_request(exchange: RequestExchange, body: bytes) -> bytes:
     head = f'{exchange.method} {exchange.path}\n'.encode()
     return hashlib.blake2b(head + body, digest_size=16).digest()
 
 
-def _find_route(exchange: Exchange) -> str:
+def _find_route(exchange: RequestExchange) -> str:
     first = exchange.path.split('?')[0].split('/')[1:2]
     return f'{exchange.method} /{"".join(first)}'
 
 
-def _read_timeout(exchange: Exchange) -> float:
+def _read_timeout(exchange: RequestExchange) -> float:
     text = exchange.find_header(TIMEOUT_HEADER)
     try:
         found = float(text) if text else REQUEST_TIMEOUT
@@ -394,6 +491,6 @@
     return found if within else REQUEST_TIMEOUT
 
 
-def _read_length(exchange: Exchange) -> int:
+def _read_length(exchange: RequestExchange) -> int:
     text = exchange.find_header('content-length') or ''
     return int(text) if text.isascii() and text.isdigit() else 0
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
@@ -13,6 +13,8 @@
 from aioquic.h3.events import H3Event
 from aioquic.h3.events import HeadersReceived
 import attrs
+from pistachiohook_core.addresses import Address
+from pistachiohook_core.membership.weights import WeightKeeper
 from pistachiohook_core.published import Published
 from pistachiohook_core.published import Service
 from pistachiohook_core.published import Target
@@ -23,6 +25,7 @@
 from pistachiohook_core.requests.scheduler import Scheduler
 from pistachiohook_core.requests.scheduler import SchedulerSettings
 from pistachiohook_core.requests.scheduler_messages import DrainStarted
+from pistachiohook_core.requests.slot_messages import FreeSlotsReport
 from pistachiohook_core.steering.envelope import Keys
 from pistachiohook_core.steering.flow_messages import MessageReceived
 from pistachiohook_core.steering.flow_messages import PublishedChanged
@@ -40,7 +43,10 @@
 from .exchange import Header
 from .flows import FlowService
 from .goaway import send_goaway
+from .hand_over import HandOverServer
+from .hand_over import ProofChecker
 from .ledger import LedgerService
+from .load import LoadService
 from .peers import PEER_CODEC
 from .peers import PeerLinks
 from .requests import RequestService
@@ -89,6 +95,7 @@
     flows: FlowService
     requests: RequestService
     ledger: LedgerService
+    load: LoadService | None = None
     engine: Engine | None = None
     subscriber: Subscriber | None = None
     service: Service | None = None
@@ -96,6 +103,7 @@
         factory=dict
     )
     _draining: bool = False
+    _zones: dict[str, str] = attrs.field(factory=dict)
 
     def apply(self, published: Published) -> None:
         """Put what is published in force."""
@@ -106,13 +114,7 @@
         self.service = next(named, None)
         if self.service is not None:
             self._apply_policy(self.service)
-        self.ledger.apply_targets(
-            tuple(
-                one
-                for one in published.targets
-                if one.service == self.own.service
-            )
-        )
+        self._apply_peers(published)
         announced = (
             one for one in published.targets if one.name == self.target.name
         )
@@ -151,6 +153,10 @@
         """Take a message of another agent."""
         if isinstance(message, Register):
             self.flows.handle(MessageReceived(message))
+        elif isinstance(message, FreeSlotsReport):
+            zone = self.target.availability_zone
+            near = self._zones.get(message.target) == zone
+            self.requests.take_report(message, near)
         else:
             self.ledger.receive(peer, message)
 
@@ -193,6 +199,23 @@
                     flow.connection.send_ping(0)
                     self.engine.advance(flow)
 
+    def _apply_peers(self, published: Published) -> None:
+        service = self.own.service
+        peers = tuple(
+            one for one in published.targets if one.service == service
+        )
+        self._zones = {one.name: one.availability_zone for one in peers}
+        self.ledger.apply_targets(peers)
+        self.requests.apply_peers(peers, self.target.name)
+        if self.target.name in self._zones and self.load is not None:
+            self.load.apply_peers(peers)
+
+    def announce_weight(self, weight: int) -> None:
+        """Announce another weight of the target."""
+        self.target = attrs.evolve(self.target, weight=weight)
+        if self.subscriber is not None:
+            self.subscriber.announce(target=self.target)
+
     def _apply_policy(self, service: Service) -> None:
         scheduler = self.requests.scheduler
         scheduler.settings = attrs.evolve(
@@ -280,8 +303,27 @@
     flows = FlowService(owner, keys, sealed, peers, metrics)
     scheduler = Scheduler(SchedulerSettings(own.slots), time.monotonic())
     ledger = build_ledger(target, peers)
-    requests = RequestService(scheduler, ledger, own.target_address, metrics)
+    requests = RequestService(
+        scheduler, ledger, own.target_address, metrics, link_keys
+    )
+    handed = HandOverServer(
+        partial(requests.accept, handed_over=True),
+        requests.cancel,
+        own.target,
+        ProofChecker(link_keys),
+        report,
+    )
+    beside = own.hand_over or Address(own.link.host, 0)
+    target = attrs.evolve(target, hand_over=handed.listen(beside))
     role = AgentRole(own, target, metrics, flows, requests, ledger)
+    role.load = LoadService(
+        own.target,
+        own.target_address,
+        requests,
+        peers,
+        WeightKeeper(own.slots),
+        role.announce_weight,
+    )
     role.engine = Engine(
         configuration=configure_quic(
             own.certificate, own.private_key, IDLE_TIMEOUT
@@ -304,6 +346,8 @@
     supervisor.supervise('idle links', peers.sweep)
     supervisor.supervise('ledger', ledger.run)
     supervisor.supervise('requests', requests.run)
+    supervisor.supervise('load', role.load.watch)
+    supervisor.supervise('free slots', role.load.tell)
     supervisor.supervise('keepalive', role.keep_alive)
     supervisor.supervise('subscriber', role.subscriber.run)
     return role
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/target.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/target.py
@@ -191,8 +191,8 @@
     finally:
         writing.cancel()
         await asyncio.gather(writing, return_exceptions=True)
-        if not reading.done():
-            reading.cancel()
+        reading.cancel()
+        await asyncio.gather(reading, return_exceptions=True)
     if not collector.whole:
         failure = Failure('read response', peer, 'the response was cut')
         return Failed(TargetFailure(failure, seen=True))
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/settings.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/settings.py
@@ -78,6 +78,12 @@
     target_address: Address = key('address', 'HTTP/1.1 endpoint of the target')
     certificate: str = key('text', 'file with the certificate chain, PEM')
     private_key: str = key('text', 'file with the private key, PEM')
+    hand_over: Address | None = key(
+        'address',
+        'where other agents hand requests over (HTTP/1.1); when missing, a'
+        ' port that the system chooses beside link',
+        None,
+    )
     drain_timeout: float = key(
         'number',
         'longest wait for work in progress at a shutdown',
