--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 export PYTHONPATH := $(subst $(space),:,$(abspath $(SOURCES)))
 export PYTHONHASHSEED := 0
 
-.PHONY: setup demo test check format clean
+.PHONY: setup demo test check format clean explore-consensus
 
 setup: $(STAMP)
 
@@ -33,6 +33,9 @@
 	$(BIN)/flake8 packages tests tools
 	$(BIN)/mypy packages/*/src tools
 
+explore-consensus: setup
+	$(BIN)/python tools/explore_consensus.py --seeds $(or $(SEEDS),20)
+
 format: setup
 	$(BIN)/ruff format packages tests tools
 	$(BIN)/ruff check --fix packages tests tools
--- a/tests/core/consensus/virtual_cluster.py
+++ b/tests/core/consensus/virtual_cluster.py
@@ -132,6 +132,7 @@
 
     def lose_disk(self, name: str) -> None:
         self.instances[name].process = None
+        self.instances[name].identity = ''
         self.instances[name].disk = VirtualDisk()
 
     def clock(self, name: str) -> float:
