--- a/tests/core/consensus/consensus_machine.py
+++ b/tests/core/consensus/consensus_machine.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 from hypothesis import Phase
 from hypothesis import settings
 from hypothesis.stateful import initialize
@@ -10,6 +12,7 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 import hypothesis.strategies as st
+from pistachiohook_core.consensus.events import Tick
 from virtual_cluster import Cluster
 from virtual_cluster import start_cluster
 
@@ -82,6 +85,27 @@
             for _ in range(several):
                 self.cluster.propose(name)
 
+    @rule(name=NAMES)
+    def lose_patience(self, name):
+        """Let the election timeout of an instance be over."""
+        process = self.cluster.instances[self.pick(name)].process
+        if process is not None:
+            process.replica.election_at = float('-inf')
+            process.replica.heard_at = float('-inf')
+            self.cluster.feed(self.pick(name), Tick())
+
+    @rule(position=POSITIONS, several=st.integers(1, 30))
+    def deliver_some(self, position, several):
+        random = Random(position)
+        for _ in range(min(several, len(self.cluster.flying))):
+            place = random.randrange(len(self.cluster.flying))
+            self.cluster.deliver(place)
+
+    @rule(name=NAMES)
+    def restart(self, name):
+        self.kill(name, False, 0, False)
+        self.start_process(name)
+
     @rule(name=NAMES)
     def read(self, name):
         self.cluster.read(self.pick(name))
--- a/tests/core/consensus/repair.feature
+++ b/tests/core/consensus/repair.feature
@@ -17,7 +17,7 @@
   Scenario Outline: What was accepted outlives <loss>, with <size> instances
     Given <size> control instances that all vote
     And 20 accepted changes
-    When <loss>
+    When the cluster suffers this: <loss>
     And 6 seconds pass
     Then a leader accepts a further change
     And every instance that runs holds all that was accepted
--- a/tests/core/consensus/steps/repair_steps.py
+++ b/tests/core/consensus/steps/repair_steps.py
@@ -181,7 +181,7 @@
     cluster.run(6.0)
 
 
-@when('{loss}')
+@when('the cluster suffers this: {loss}')
 def lose(context, loss):
     LOSSES[loss](context.cluster)
 
--- /dev/null
+++ b/tests/core/consensus/steps/rule_steps.py
@@ -0,0 +1,246 @@
+"""Steps on single replicas."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+from pistachiohook_core.consensus.entries import Entry
+from pistachiohook_core.consensus.entries import EntryKind
+from pistachiohook_core.consensus.entries import HardState
+from pistachiohook_core.consensus.entries import Membership
+from pistachiohook_core.consensus.entries import Saved
+from pistachiohook_core.consensus.entries import Snapshot
+from pistachiohook_core.consensus.events import Apply
+from pistachiohook_core.consensus.events import Persist
+from pistachiohook_core.consensus.events import Propose
+from pistachiohook_core.consensus.events import Received
+from pistachiohook_core.consensus.events import Send
+from pistachiohook_core.consensus.events import Tick
+from pistachiohook_core.consensus.messages import Append
+from pistachiohook_core.consensus.messages import AppendAnswer
+from pistachiohook_core.consensus.messages import Join
+from pistachiohook_core.consensus.messages import PreVote
+from pistachiohook_core.consensus.messages import PreVoteAnswer
+from pistachiohook_core.consensus.messages import Vote
+from pistachiohook_core.consensus.messages import VoteAnswer
+from pistachiohook_core.consensus.raft import handle
+from pistachiohook_core.consensus.replica import create_replica
+from pistachiohook_core.consensus.replica import Timing
+
+OWN = 'a/1'
+CLUSTER = 'z/1'
+VOTERS = ('a/1', 'b/1', 'c/1')
+
+
+def make_entry(index, term):
+    return Entry(index, term, EntryKind.COMMAND, b'%d' % index)
+
+
+def start(context, hard_state):
+    saved = Saved(
+        OWN,
+        CLUSTER,
+        hard_state,
+        Snapshot(membership=Membership(VOTERS)),
+        tuple(make_entry(index, 4) for index in range(1, 11)),
+    )
+    names = ('a', 'b', 'c', 'd', 'e')
+    context.now = 50.0
+    context.replica = create_replica(saved, names, Timing(), 1, context.now)
+
+
+def feed(context, event):
+    context.actions = handle(context.replica, event, context.now)
+
+
+def tell(context, kind, sender, term, *fields):
+    message = kind(CLUSTER, sender, OWN, term, *fields)
+    feed(context, Received(message))
+
+
+def read_last(last):
+    index, _, _, term = last.split()
+    return int(index), int(term)
+
+
+def list_sent(context, kind):
+    return [
+        action.message
+        for action in context.actions
+        if isinstance(action, Send) and isinstance(action.message, kind)
+    ]
+
+
+@given(
+    'a replica in term 5 that voted for "{voted}" and whose last entry is 10 '
+    'of term 4'
+)
+def make_replica(context, voted):
+    start(context, HardState(5, voted))
+
+
+@given(
+    'a replica in term 5 that voted for "" and whose last entry is 10 of '
+    'term 4'
+)
+def make_undecided(context):
+    start(context, HardState(5, ''))
+
+
+@given('it has heard its leader "{leader}" just now')
+def hear(context, leader):
+    tell(context, Append, leader, 5, 10, 4, (), 0, 1)
+
+
+@when(
+    'it is asked for its vote in term {term:d} by "{sender}" with last entry '
+    '{last}'
+)
+def ask_vote(context, term, sender, last):
+    context.before = context.replica.hard_state
+    tell(context, Vote, sender, term, *read_last(last))
+
+
+@then('it answers {answer}, after what it must remember is durable')
+def check_vote(context, answer):
+    [sent] = list_sent(context, VoteAnswer)
+    context.granted = sent.granted
+    assert sent.granted == (answer == 'yes')
+    state = context.replica.hard_state
+    if state != context.before:
+        assert isinstance(context.actions[0], Persist)
+        assert context.actions[0].hard_state == state
+
+
+@then(
+    'a restart does not let it vote for "{other}" in term {term:d}, when it '
+    'answered yes'
+)
+def check_restart(context, other, term):
+    if not context.granted:
+        return
+    durable = [context.before]
+    durable += [
+        action.hard_state
+        for action in context.actions
+        if isinstance(action, Persist)
+    ]
+    start(context, durable[-1])
+    tell(context, Vote, other, term, 99, 4)
+    [sent] = list_sent(context, VoteAnswer)
+    assert not sent.granted
+
+
+@when(
+    '{seconds:f} seconds later "{sender}" asks for a pre-vote with last entry '
+    '{last}'
+)
+def ask_pre_vote(context, seconds, sender, last):
+    context.now += seconds
+    tell(context, PreVote, sender, 5, *read_last(last))
+
+
+@then('the pre-vote is {answer} and nothing has changed')
+def check_pre_vote(context, answer):
+    [sent] = list_sent(context, PreVoteAnswer)
+    assert sent.granted == (answer == 'granted')
+    assert context.replica.hard_state == HardState(5, 'c/1')
+    assert len(context.actions) == 1
+
+
+@when('it becomes the leader of term 6')
+def elect(context):
+    context.now += 3.0
+    feed(context, Tick())
+    tell(context, PreVoteAnswer, 'b/1', 5, 5, True)
+    tell(context, VoteAnswer, 'b/1', 6, True)
+    assert context.replica.leader == OWN
+
+
+@when('"{sender}" holds the entries up to {matched:d}')
+def match(context, sender, matched):
+    tell(context, AppendAnswer, sender, 6, True, matched, 0)
+
+
+@then('the entries up to {commits:d} are committed')
+def check_commit(context, commits):
+    applied = [
+        action.entry.index
+        for action in context.actions
+        if isinstance(action, Apply)
+    ]
+    assert applied == list(range(1, commits + 1)), applied
+
+
+@when(
+    'its leader "{leader}" sends entries {first:d} to {last:d} of term '
+    '{term:d}'
+)
+def send_entries(context, leader, first, last, term):
+    entries = tuple(make_entry(one, term) for one in range(first, last + 1))
+    tell(context, Append, leader, 5, first - 1, 4, entries, 0, 1)
+
+
+@when('a leader of term 4 sends entries in the place of 9')
+def send_stale(context):
+    entries = (make_entry(9, 3),)
+    tell(context, Append, 'b/1', 4, 8, 4, entries, 9, 1)
+
+
+@then('its log ends at {length:d}')
+def check_length(context, length):
+    assert context.replica.log.last_index == length
+
+
+@then('the leader of term 4 learns of term 5')
+def check_told(context):
+    [sent] = list_sent(context, AppendAnswer)
+    assert sent.term == 5
+    assert not sent.matched
+
+
+@when('two commands are proposed')
+def propose(context):
+    context.replica.instances = ('a', 'b', 'c')
+    feed(context, Propose((1, 2), (b'x', b'y')))
+
+
+@then('the first action makes entries 12 and 13 durable')
+def check_durable(context):
+    first = context.actions[0]
+    assert isinstance(first, Persist)
+    assert [entry.index for entry in first.entries] == [12, 13]
+    assert len(list_sent(context, Append)) == 2
+
+
+@when('"{first}" and "{second}" ask to be let in')
+def ask_in(context, first, second):
+    for sender in (first, second):
+        message = Join('', sender, '', 0)
+        feed(context, Received(message))
+
+
+def count_changes(context):
+    feed(context, Tick())
+    return sum(
+        1
+        for entry in context.replica.log.entries
+        if entry.kind is EntryKind.MEMBERSHIP
+    )
+
+
+@then('no change begins before an entry of term 6 is committed')
+def check_none(context):
+    assert count_changes(context) == 0
+    match(context, 'b/1', 10)
+    assert count_changes(context) == 0
+    match(context, 'b/1', 11)
+    assert count_changes(context) == 1
+
+
+@then('the second change begins only after the first is committed')
+def check_second(context):
+    assert count_changes(context) == 1
+    match(context, 'b/1', 12)
+    assert count_changes(context) == 2
