--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
@@ -0,0 +1,324 @@
+"""The tasks of an agent."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+import hashlib
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+from aioquic.h3.events import DataReceived
+from aioquic.h3.events import H3Event
+from aioquic.h3.events import HeadersReceived
+import attrs
+from pistachiohook_core.published import Published
+from pistachiohook_core.published import Service
+from pistachiohook_core.published import Target
+from pistachiohook_core.published import TargetState
+from pistachiohook_core.requests.history import History
+from pistachiohook_core.requests.ledger_client import LedgerClient
+from pistachiohook_core.requests.ledger_replica import LedgerReplica
+from pistachiohook_core.requests.scheduler import Scheduler
+from pistachiohook_core.requests.scheduler import SchedulerSettings
+from pistachiohook_core.requests.scheduler_messages import DrainStarted
+from pistachiohook_core.steering.envelope import Keys
+from pistachiohook_core.steering.flow_messages import MessageReceived
+from pistachiohook_core.steering.flow_messages import PublishedChanged
+from pistachiohook_core.steering.flow_messages import Register
+from pistachiohook_core.steering.flows import FlowOwner
+
+from ..datagrams import DatagramSocket
+from ..endpoints import Health
+from ..subscriber import build_subscriber
+from .engine import configure_quic
+from .engine import Engine
+from .engine import Flow
+from .engine import StreamCancelled
+from .exchange import Exchange
+from .exchange import Header
+from .flows import FlowService
+from .goaway import send_goaway
+from .ledger import LedgerService
+from .peers import PEER_CODEC
+from .peers import PeerLinks
+from .requests import RequestService
+
+if TYPE_CHECKING:
+    from pistachiohook_core.metrics import Metrics
+
+    from ..keys import LinkKeys
+    from ..logs import Report
+    from ..settings import AgentSettings
+    from ..settings import Settings
+    from ..subscriber import Subscriber
+    from ..supervisor import Supervisor
+
+#: Idle timeout until the policy of the service is known, in seconds.
+IDLE_TIMEOUT = 15.0
+
+#: Life of an idempotency key until the policy is known, in seconds.
+KEY_LIFETIME = 600.0
+
+#: Keepalives that go out within one idle timeout.
+KEEPALIVES = 3
+
+#: Time that the published drain needs to reach the balancers, in seconds.
+DRAIN_NOTICE = 1.0
+
+#: Interval at which a drain looks for work in progress, in seconds.
+DRAIN_INTERVAL = 0.05
+
+
+@attrs.define
+class AgentRole:
+    """State of a running agent.
+
+    :param own: the agent's settings
+    :param target: what the agent announces
+    :param metrics: counts what passes and what is dropped
+    :param flows: the datagrams' way
+    :param requests: the requests in progress
+    :param ledger: this agent's part in the ledger
+    """
+
+    own: AgentSettings
+    target: Target
+    metrics: Metrics
+    flows: FlowService
+    requests: RequestService
+    ledger: LedgerService
+    engine: Engine | None = None
+    subscriber: Subscriber | None = None
+    service: Service | None = None
+    _exchanges: dict[tuple[Flow, int], tuple[int, Exchange]] = attrs.field(
+        factory=dict
+    )
+    _draining: bool = False
+
+    def apply(self, published: Published) -> None:
+        """Put what is published in force."""
+        self.flows.handle(PublishedChanged(published))
+        named = (
+            one for one in published.services if one.name == self.own.service
+        )
+        self.service = next(named, None)
+        if self.service is not None:
+            self._apply_policy(self.service)
+        self.ledger.apply_targets(
+            tuple(
+                one
+                for one in published.targets
+                if one.service == self.own.service
+            )
+        )
+        announced = (
+            one for one in published.targets if one.name == self.target.name
+        )
+        state = next((one.state for one in announced), None)
+        if state is TargetState.DRAINING and not self._draining:
+            self.start_drain()
+
+    def start_drain(self) -> None:
+        """Take nothing new; what is in progress goes on."""
+        self._draining = True
+        self.requests.handle(DrainStarted())
+        if self.engine is not None:
+            for flow in self.engine.list_flows():
+                send_goaway(self.engine, flow)
+
+    async def shut_down(self) -> None:
+        """Announce the end, finish the work in progress, close the flows."""
+        self.target = attrs.evolve(self.target, state=TargetState.DRAINING)
+        if self.subscriber is not None:
+            self.subscriber.announce(target=self.target)
+        await asyncio.sleep(DRAIN_NOTICE)
+        self.start_drain()
+        try:
+            async with asyncio.timeout(self.own.drain_timeout):
+                while self.requests.count_open():
+                    await asyncio.sleep(DRAIN_INTERVAL)
+        except TimeoutError:
+            self.metrics.count('drain_timeouts')
+        if self.engine is not None:
+            for flow in self.engine.list_flows():
+                self.engine.close_flow(flow, 'the agent shuts down')
+        if self.subscriber is not None:
+            self.subscriber.leave()
+
+    def receive_message(self, peer: str, message: Any) -> None:
+        """Take a message of another agent."""
+        if isinstance(message, Register):
+            self.flows.handle(MessageReceived(message))
+        else:
+            self.ledger.receive(peer, message)
+
+    def receive_event(self, flow: Flow, event: H3Event) -> None:
+        """Take what a caller does on a flow."""
+        if isinstance(event, HeadersReceived):
+            self._open_exchange(flow, event)
+        elif isinstance(event, DataReceived):
+            found = self._exchanges.get((flow, event.stream_id))
+            if found is not None:
+                found[1].feed_body(event.data, event.stream_ended)
+        elif isinstance(event, StreamCancelled):
+            self._cancel_exchange(flow, event.stream_id)
+
+    def end_flow(self, flow: Flow) -> None:
+        """Cancel what nobody waits for any more."""
+        streams = [stream for held, stream in self._exchanges if held is flow]
+        for stream in streams:
+            self._cancel_exchange(flow, stream)
+        if self.engine is not None and not self.engine.has_flow(flow.key):
+            self.flows.end_flow(flow.key)
+
+    def find_health(self) -> Health:
+        """Say whether the agent takes part in the service."""
+        if self.subscriber is None or not self.subscriber.is_current():
+            return Health(False, 'not current since the start')
+        if self.service is None:
+            return Health(False, f'no service {self.own.service}')
+        return Health(True, 'draining' if self._draining else 'serving')
+
+    async def keep_alive(self) -> None:
+        """Ping the flows with requests in progress, until cancelled."""
+        while True:
+            timeout = (
+                self.service.idle_timeout if self.service else IDLE_TIMEOUT
+            )
+            await asyncio.sleep(timeout / KEEPALIVES)
+            for flow in {flow for flow, _ in self._exchanges}:
+                if self.engine is not None and not flow.ended:
+                    flow.connection.send_ping(0)
+                    self.engine.advance(flow)
+
+    def _apply_policy(self, service: Service) -> None:
+        scheduler = self.requests.scheduler
+        scheduler.settings = attrs.evolve(
+            scheduler.settings,
+            queue_limit=service.queue_limit,
+            long_after=service.long_after,
+        )
+        self.ledger.client.lifetime = service.key_lifetime
+        self.ledger.replica.lifetime = service.key_lifetime
+        if self.engine is not None:
+            self.engine.configuration.idle_timeout = service.idle_timeout
+
+    def _open_exchange(self, flow: Flow, event: HeadersReceived) -> None:
+        if (flow, event.stream_id) in self._exchanges:
+            return
+        fields = {
+            name.decode(): value.decode() for name, value in event.headers
+        }
+        assert self.engine is not None
+        exchange = Exchange(
+            engine=self.engine,
+            flow=flow,
+            stream_id=event.stream_id,
+            method=fields.get(':method', 'GET'),
+            path=fields.get(':path', '/'),
+            headers=tuple(
+                Header(name.decode(), value.decode())
+                for name, value in event.headers
+                if not name.startswith(b':')
+            ),
+            has_body=not event.stream_ended,
+        )
+        if exchange.has_body:
+            flow.connection.hold_window(event.stream_id)
+        place = (flow, event.stream_id)
+        ended = partial(self._exchanges.pop, place, None)
+        number = self.requests.accept(exchange, ended)
+        if number is not None:
+            self._exchanges[place] = (number, exchange)
+
+    def _cancel_exchange(self, flow: Flow, stream: int) -> None:
+        found = self._exchanges.pop((flow, stream), None)
+        if found is not None:
+            number, exchange = found
+            exchange.cancel()
+            self.requests.cancel(number)
+
+
+def start_agent(
+    settings: Settings,
+    own: AgentSettings,
+    link_keys: LinkKeys,
+    supervisor: Supervisor,
+    metrics: Metrics,
+    report: Report,
+) -> AgentRole:
+    """Bind the sockets and start the tasks of an agent.
+
+    :param settings: settings of the process
+    :param own: the agent's part of them
+    :param link_keys: keys of links and envelopes
+    :param supervisor: keeps the tasks
+    :param metrics: takes counts and durations
+    :param report: logs an event
+    :raises OSError: when an address cannot be bound or a file not be read
+    """
+    sealed = DatagramSocket(own.sealed)
+    peers = PeerLinks(own.target, PEER_CODEC, link_keys, report)
+    target = Target(
+        name=own.target,
+        service=own.service,
+        availability_zone=settings.availability_zone,
+        agent=sealed.open(),
+        link=peers.listen(own.link),
+        incarnation=time.time_ns(),
+        slots=own.slots,
+    )
+    keys = Keys(link_keys.current, link_keys.former)
+    owner = FlowOwner(
+        own.service, own.target, target.agent, target.incarnation
+    )
+    flows = FlowService(owner, keys, sealed, peers, metrics)
+    scheduler = Scheduler(SchedulerSettings(own.slots), time.monotonic())
+    ledger = build_ledger(target, peers)
+    requests = RequestService(scheduler, ledger, own.target_address, metrics)
+    role = AgentRole(own, target, metrics, flows, requests, ledger)
+    role.engine = Engine(
+        configuration=configure_quic(
+            own.certificate, own.private_key, IDLE_TIMEOUT
+        ),
+        reset_key=derive_reset_key(link_keys),
+        transmit=flows.transmit,
+        receive_event=role.receive_event,
+        open_flow=flows.open_flow,
+        end_flow=role.end_flow,
+    )
+    flows.engine = role.engine
+    role.subscriber = build_subscriber(
+        settings.name, settings.control, link_keys, report, role.apply
+    )
+    ledger.measure_freshness = role.subscriber.measure_freshness
+    role.subscriber.announce(target=target)
+    supervisor.supervise('sealed', partial(sealed.serve, flows.receive_sealed))
+    supervisor.supervise('flows', flows.run)
+    supervisor.supervise('peers', partial(peers.serve, role.receive_message))
+    supervisor.supervise('idle links', peers.sweep)
+    supervisor.supervise('ledger', ledger.run)
+    supervisor.supervise('requests', requests.run)
+    supervisor.supervise('keepalive', role.keep_alive)
+    supervisor.supervise('subscriber', role.subscriber.run)
+    return role
+
+
+def build_ledger(target: Target, peers: PeerLinks) -> LedgerService:
+    """Return an agent's part in the ledger, with no memory of old keys."""
+    lifetime = KEY_LIFETIME
+    client = LedgerClient(
+        target.name, target.incarnation, lifetime, History(lifetime)
+    )
+    replica = LedgerReplica(
+        target.name, target.incarnation, time.time(), lifetime
+    )
+    return LedgerService(client, replica, peers)
+
+
+def derive_reset_key(link_keys: LinkKeys) -> bytes:
+    """Return the key of stateless resets, equal at every agent."""
+    keyed = hashlib.blake2b(key=link_keys.current, person=b'reset tokens')
+    return keyed.digest()
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/target.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/target.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -33,9 +34,24 @@
 #: Longest wait for a TCP connection to the target, in seconds.
 CONNECT_TIMEOUT = 2.0
 
+#: Silence after which a connection is probed, in seconds.
+KEEPALIVE_IDLE = 5
+
+#: Time between two probes, in seconds.
+KEEPALIVE_INTERVAL = 2
+
+#: Unanswered probes after which a connection counts as lost.
+KEEPALIVE_PROBES = 3
+
+#: Longest time that sent data stays unacknowledged, in milliseconds.
+USER_TIMEOUT_MS = 11_000
+
 #: Largest body in either direction, in bytes.
 BODY_MAX = 1 << 40
 
+#: Methods whose body needs no length; the library then sends it in chunks.
+BODY_METHODS = frozenset({'POST', 'PUT', 'PATCH'})
+
 #: Header fields that belong to one connection only (RFC 9110, 7.6.1).
 HOP_BY_HOP = frozenset(
     {
@@ -139,9 +155,22 @@
         reason = str(error) or 'no connection'
         return Failed(Failure('connect to target', str(address), reason))
     stream.set_nodelay(True)
+    _set_keepalive(stream)
     return Success(stream)
 
 
+def _set_keepalive(stream: IOStream) -> None:
+    opened: socket.socket = stream.socket
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    ):
+        opened.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 async def _converse(
     stream: IOStream, request: TargetRequest, receiver: Receiver, peer: str
 ) -> Result[None, TargetFailure]:
@@ -186,12 +215,10 @@
     for header in request.headers:
         if header.name not in HOP_BY_HOP:
             headers.add(header.name, header.value)
-    chunked = request.body is not None and 'Content-Length' not in headers
-    if chunked:
-        headers['Transfer-Encoding'] = 'chunked'
     start = RequestStartLine(request.method, request.path, 'HTTP/1.1')
     await connection.write_headers(start, headers)
-    if request.body is not None:
+    framed = 'Content-Length' in headers or request.method in BODY_METHODS
+    if request.body is not None and framed:
         async for chunk in request.body:
             await connection.write(chunk)
     connection.finish()
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/role.py
@@ -0,0 +1,133 @@
+"""Wiring of the control role."""
+
+from __future__ import annotations
+
+from functools import partial
+from pathlib import Path
+import secrets
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+from pistachiohook_core.membership.holder import Holder
+from pistachiohook_core.membership.leases import LeaseTable
+from pistachiohook_core.membership.subscription import FRESHNESS_BOUND
+from pistachiohook_core.subscription_messages import SUBSCRIPTION_CODEC
+from returns.result import Failure as Failed
+
+from ..endpoints import Health
+from ..links import LinkServer
+from ..settings import MemberSettings
+from .administration import Administration
+from .api import serve_api
+from .disk import open_data_folder
+from .machine import ControlMachine
+from .nodes import NodeServer
+from .peers import connect_peers
+from .proposals import Proposer
+from .replicator import Replicator
+from .replicator import StateMachine
+from .tokens import read_tokens
+
+if TYPE_CHECKING:
+    from pistachiohook_core.addresses import Address
+    from tornado.httpserver import HTTPServer
+
+    from ..keys import LinkKeys
+    from ..logs import Report
+    from ..settings import ControlSettings
+    from ..settings import Settings
+    from ..supervisor import Supervisor
+    from .disk import DataFolder
+    from .peers import Peers
+
+
+@attrs.define
+class ControlRole:
+    """State of a running control instance.
+
+    :param replicator: agrees with the other instances
+    :param links: listening end of the nodes' connections
+    :param link: where nodes connect
+    :param api: the administration API
+    :param peers: connections to the other instances
+    :param folder: data folder
+    """
+
+    replicator: Replicator
+    links: LinkServer
+    link: Address
+    api: HTTPServer
+    peers: Peers
+    folder: DataFolder
+
+    def find_health(self) -> Health:
+        """Return whether this instance has a quorum behind it."""
+        freshness = self.replicator.freshness(time.monotonic())
+        leader = self.replicator.leader or 'unknown'
+        reason = f'leader {leader}, quorum proved {freshness:.1f} s ago'
+        return Health(freshness <= FRESHNESS_BOUND, reason)
+
+    async def shut_down(self) -> None:
+        """Take no more connections; requests in progress are answered."""
+        self.api.stop()
+        await self.api.close_all_connections()
+        self.links.close()
+        self.peers.close()
+
+
+async def run_control(
+    settings: Settings,
+    table: ControlSettings,
+    keys: LinkKeys,
+    supervisor: Supervisor,
+    report: Report,
+) -> ControlRole:
+    """Start the tasks of the control role below a supervisor.
+
+    :param settings: settings of the process
+    :param table: its table ``control_instance``
+    :param keys: keys of the links
+    :param supervisor: keeps the tasks running
+    :param report: logs an event
+    :raises ValueError: when the token file can't be read
+    :raises OSError: when an address or a file can't be used
+    """
+    name = settings.name
+    tokens = read_tokens(Path(table.tokens_file))
+    if isinstance(tokens, Failed):
+        raise ValueError(str(tokens.failure()))
+    members = table.members or (MemberSettings(name, table.peer, table.api),)
+    folder = open_data_folder(Path(table.data_folder))
+    holder = Holder(name, LeaseTable(name, time.monotonic()))
+    machine = ControlMachine(holder, report)
+    peers = connect_peers(name, table.peer, members, keys, report)
+    replicator = Replicator(
+        name=name,
+        addresses={member.name: str(member.peer) for member in members},
+        files=folder.files,
+        machine=StateMachine(
+            machine.apply, machine.restore, machine.take_snapshot
+        ),
+        send=peers.send,
+        report=report,
+        birth=secrets.token_hex(8),
+        seed=secrets.randbits(32),
+    )
+    proposer = Proposer(name, replicator, peers.send)
+    links = LinkServer(SUBSCRIPTION_CODEC, keys, report)
+    link = links.listen(table.link)
+    server = NodeServer(holder, replicator, proposer, links, report)
+    administration = Administration(
+        name, members, machine, replicator, proposer
+    )
+    api = serve_api(table.api, administration, tokens.unwrap(), report)
+    supervisor.supervise('replicator', replicator.run)
+    supervisor.supervise('connections', peers.keep_connected)
+    serve_peers = partial(peers.serve, proposer, replicator.receive)
+    supervisor.supervise('peers', serve_peers)
+    supervisor.supervise('nodes', server.serve)
+    supervisor.supervise('leases', server.watch)
+    supervisor.supervise('reads', server.prove)
+    supervisor.supervise('reports', server.write)
+    return ControlRole(replicator, links, link, api, peers, folder)
