Stop a link's reader also when a message comes in just then

Cause: pynng awaits the end of a receive that it cancels; when the message is there first, it returns it and drops the cancellation, so that the task reads on and whoever waits for its end waits for ever. Seen as a control role that did not stop; ruled out by a dump of all tasks: HTTP connections and the replicator, both idle. The receiver now looks whether it is being cancelled. The new scenario of tests/daemon/links passes.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/links.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/links.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import hashlib
 import hmac
@@ -109,7 +110,7 @@
     async def receive(self) -> Incoming:
         """Wait for the next good message."""
         while True:
-            raw = await self._socket.arecv_msg()
+            raw = await _receive_raw(self._socket)
             incoming = self._accept(raw.pipe, raw.bytes)
             if incoming is not None:
                 return incoming
@@ -239,8 +240,8 @@
     async def receive(self) -> Any:
         """Wait for the next good message."""
         while True:
-            frame = await self._socket.arecv()
-            message = self._accept(frame)
+            raw = await _receive_raw(self._socket)
+            message = self._accept(raw.bytes)
             if message is not None:
                 return message
 
@@ -295,6 +296,15 @@
         return True
 
 
+async def _receive_raw(socket: Any) -> Any:
+    raw = await socket.arecv_msg()
+    task = asyncio.current_task()
+    # pynng drops a cancellation that comes together with a message.
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+    return raw
+
+
 def _open_socket() -> Any:
     return pynng.Pair1(
         polyamorous=True,
--- a/tests/daemon/links/links.feature
+++ b/tests/daemon/links/links.feature
@@ -39,3 +39,8 @@
     When the listener is started again on its address
     And the dialer sends revision 9 until it arrives
     Then the listener receives revision 9
+
+  Scenario: A reader stops at once, also when a message comes in just then
+    Given a dialer with the key "11111111111111111111111111111111"
+    When 200 readers of the listener are stopped while a message comes in
+    Then every reader has stopped
--- a/tests/daemon/links/steps/link_steps.py
+++ b/tests/daemon/links/steps/link_steps.py
@@ -170,3 +170,36 @@
 def compare_events(context, event):
     expected = [] if event == 'none' else [int(event)]
     assert context.events == expected, context.events
+
+
+@when('{count:d} readers of the listener are stopped while a message comes in')
+def stop_readers(context, count):
+    context.loop.run_until_complete(stop_one_by_one(context, count))
+
+
+async def stop_one_by_one(context, count):
+    answers = asyncio.create_task(read_all(context.client))
+    context.stuck = 0
+    for turn in range(count):
+        reader = asyncio.create_task(read_all(context.server))
+        await asyncio.sleep(0.002)
+        context.client.send(Leave('n', 1))
+        for _ in range(turn % 40):
+            await asyncio.sleep(0)
+        reader.cancel()
+        done, _ = await asyncio.wait({reader}, timeout=PATIENCE)
+        context.stuck += not done
+        if context.stuck:
+            break
+    answers.cancel()
+    await asyncio.wait({answers}, timeout=PATIENCE)
+
+
+async def read_all(end):
+    while True:
+        await end.receive()
+
+
+@then('every reader has stopped')
+def compare_stuck(context):
+    assert not context.stuck
