Prove control and the commands over real sockets

Every fault of a set comes at once: an object with one bad key is checked jointly with its good ones. Reads wait up to 3 s for a leader.

--- a/packages/pistachiohook-core/src/pistachiohook_core/configuration/check.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/configuration/check.py
@@ -47,10 +47,16 @@
 
 @attrs.frozen
 class _Checked:
-    """An object with its values in their types."""
+    """An object with those of its values that are good by themselves.
+
+    :param raw: the object as it was read
+    :param value: a key at fault holds its default, or nothing
+    :param faulty: keys at fault
+    """
 
     raw: RawObject
     value: Any
+    faulty: frozenset[str]
 
     def refuse(self, key: str, reason: str) -> ObjectError:
         """Return an error at one key of the object."""
@@ -66,11 +72,7 @@
     :returns: the set, or every error that it has
     """
     known = [raw for raw in raws if raw.kind in KINDS]
-    checked = [
-        _Checked(raw, _build_object(raw))
-        for raw in known
-        if not any(_check_keys(raw))
-    ]
+    checked = [_build_object(raw) for raw in known]
     errors = tuple(
         chain(
             _check_kinds(raws),
@@ -196,12 +198,20 @@
     )
 
 
-def _build_object(raw: RawObject) -> Any:
-    forms = {key.name: key.form for key in list_keys(raw.kind)}
-    values = {
-        name: _convert(forms[name], value) for name, value in raw.keys.items()
+def _build_object(raw: RawObject) -> _Checked:
+    faulty = frozenset(error.key for error in _check_keys(raw))
+    keys = list_keys(raw.kind)
+    missing = {
+        key.name: '' if key.form is Form.STRING else ()
+        for key in keys
+        if key.default is None
+    }
+    good = {
+        key.name: _convert(key.form, raw.keys[key.name])
+        for key in keys
+        if key.name in raw.keys and key.name not in faulty
     }
-    return KINDS[raw.kind](**values)
+    return _Checked(raw, KINDS[raw.kind](**{**missing, **good}), faulty)
 
 
 def _convert(form: Form, value: Any) -> Any:
@@ -218,8 +228,9 @@
     names = {(raw.kind, raw.name) for raw in known}
     for item in _pick(checked, ServiceObject):
         service: ServiceObject = item.value
-        if ('policy', service.policy) not in names:
-            yield item.refuse('policy', f'no policy {service.policy!r}')
+        policy = service.policy
+        if policy and ('policy', policy) not in names:
+            yield item.refuse('policy', f'no policy {policy!r}')
         for place in service.places:
             if ('place', place) not in names:
                 yield item.refuse('places', f'no place {place!r}')
@@ -263,7 +274,8 @@
     for item in places:
         for zone in item.value.availability_zones:
             earlier = first.setdefault(zone, item)
-            if earlier.value.region != item.value.region:
+            regions = {earlier.value.region, item.value.region}
+            if len(regions - {''}) > 1:
                 yield item.refuse(
                     'availability_zones',
                     f'{zone!r} is in region {earlier.value.region!r} by '
@@ -274,6 +286,8 @@
 def _check_limits(policies: Iterable[_Checked]) -> Iterator[ObjectError]:
     for item in policies:
         for low, high in ORDERED_LIMITS:
+            if item.faulty & {low, high}:
+                continue
             lower = getattr(item.value, low)
             upper = getattr(item.value, high)
             if lower > upper:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/administration.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/administration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import Any
 from typing import TYPE_CHECKING
@@ -60,6 +61,13 @@
 #: Time in which a command is proposed again when it fails, in seconds.
 PROPOSE_PATIENCE = 8.0
 
+#: Time in which a read is tried again, as while a leader is elected, in
+#: seconds.
+READ_PATIENCE = 3.0
+
+#: Wait between two tries of a read, in seconds.
+RETRY_INTERVAL = 0.1
+
 #: Largest age that is shown, in seconds.
 FRESHNESS_SHOWN_MAX = 86_400.0
 
@@ -86,7 +94,7 @@
 
         :param stale: whether an answer that may be old is wanted too
         """
-        barrier = await self.replicator.read_barrier()
+        barrier = await self._read_barrier(0.0 if stale else READ_PATIENCE)
         linearized = isinstance(barrier, Success)
         if not linearized and not stale:
             return Failed(
@@ -222,6 +230,14 @@
     def _state(self) -> State:
         return self.machine.state
 
+    async def _read_barrier(self, patience: float) -> Result[int, Failure]:
+        end = time.monotonic() + patience
+        result = await self.replicator.read_barrier()
+        while isinstance(result, Failed) and time.monotonic() < end:
+            await asyncio.sleep(RETRY_INTERVAL)
+            result = await self.replicator.read_barrier()
+        return result
+
     async def _propose(
         self, command: Command, change_id: str = ''
     ) -> Result[Outcome, Problem]:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/role.py
@@ -31,6 +31,7 @@
 
 if TYPE_CHECKING:
     from pistachiohook_core.addresses import Address
+    from pistachiohook_core.configuration.state import State
     from tornado.httpserver import HTTPServer
 
     from ..keys import LinkKeys
@@ -52,6 +53,7 @@
     :param api: the administration API
     :param peers: connections to the other instances
     :param folder: data folder
+    :param machine: the replicated state machine
     """
 
     replicator: Replicator
@@ -60,6 +62,12 @@
     api: HTTPServer
     peers: Peers
     folder: DataFolder
+    machine: ControlMachine
+
+    @property
+    def state(self) -> State:
+        """The replicated state as far as it is applied here."""
+        return self.machine.state
 
     def find_health(self) -> Health:
         """Return whether this instance has a quorum behind it."""
@@ -130,4 +138,4 @@
     supervisor.supervise('leases', server.watch)
     supervisor.supervise('reads', server.prove)
     supervisor.supervise('reports', server.write)
-    return ControlRole(replicator, links, link, api, peers, folder)
+    return ControlRole(replicator, links, link, api, peers, folder, machine)
--- a/tests/core/configuration/check.feature
+++ b/tests/core/configuration/check.feature
@@ -71,8 +71,13 @@
       [service.intake]
       addresses = ["10.0.0.1:443"]
       policy = "none"
+      [service.broken]
+      addresses = "10.0.0.2:443"
+      policy = "none"
       [policy.loose]
       colour = "red"
+      request_timeout = "1 s"
+      latency_objective = 40
       """
     When the set is checked
-    Then there are 3 errors
+    Then there are 6 errors
--- /dev/null
+++ b/tests/daemon/control/running.py
@@ -0,0 +1,173 @@
+"""Control instances and nodes in one process, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import ExitStack
+from pathlib import Path
+import shutil
+import socket
+import tempfile
+import threading
+import time
+
+import attrs
+from pistachiohook_core.addresses import Address
+from pistachiohook_core.published import Target
+from pistachiohook_daemon.control.role import run_control
+from pistachiohook_daemon.keys import LinkKeys
+from pistachiohook_daemon.settings import ControlSettings
+from pistachiohook_daemon.settings import MemberSettings
+from pistachiohook_daemon.settings import Settings
+from pistachiohook_daemon.subscriber import build_subscriber
+from pistachiohook_daemon.supervisor import Supervisor
+
+#: Longest wait for a condition that must come true, in seconds.
+PATIENCE = 30.0
+
+KEYS = LinkKeys(b'k' * 32)
+OPERATOR = 'operator-token-0001'
+READER = 'reader-token-000001'
+
+
+def find_addresses(count):
+    """Return free addresses; the system names the ports."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in sockets:
+            one.bind(('127.0.0.1', 0))
+        return [Address(*one.getsockname()) for one in sockets]
+
+
+@attrs.define(eq=False)
+class Running:
+    """A loop on a thread, with what runs on it."""
+
+    folder: Path = attrs.field(factory=lambda: Path(tempfile.mkdtemp()))
+    loop: object = attrs.field(factory=asyncio.new_event_loop)
+    members: tuple = ()
+    links: dict = attrs.field(factory=dict)
+    roles: dict = attrs.field(factory=dict)
+    nodes: dict = attrs.field(factory=dict)
+    applied: dict = attrs.field(factory=dict)
+    events: list = attrs.field(factory=list)
+
+    def start(self, count):
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+        names = [f'c{number}' for number in range(1, count + 1)]
+        addresses = iter(find_addresses(3 * count))
+        self.members = tuple(
+            MemberSettings(name, next(addresses), next(addresses))
+            for name in names
+        )
+        self.links = {name: next(addresses) for name in names}
+        tokens = f'ana operator {OPERATOR}\nrolf reader {READER}\n'
+        (self.folder / 'tokens').write_text(tokens)
+        for name in names:
+            self.start_control(name)
+
+    def call(self, coroutine):
+        done = asyncio.run_coroutine_threadsafe(coroutine, self.loop)
+        return done.result(PATIENCE)
+
+    def wait(self, condition):
+        """Wait until a condition holds."""
+        end = time.monotonic() + PATIENCE
+        while not condition():
+            assert time.monotonic() < end, 'the condition never held'
+            time.sleep(0.02)
+
+    def report(self, event, **fields):
+        self.events.append((event.number, fields))
+
+    def start_control(self, name):
+        member = next(m for m in self.members if m.name == name)
+        table = ControlSettings(
+            data_folder=str(self.folder / name),
+            api=member.api,
+            link=self.links[name],
+            peer=member.peer,
+            tokens_file=str(self.folder / 'tokens'),
+            members=self.members,
+        )
+        settings = Settings(
+            role='control',
+            name=name,
+            availability_zone='lautoka-a',
+            admin=Address('127.0.0.1', 0),
+            keys_file='',
+        )
+        self.call(self._start(settings, table))
+
+    async def _start(self, settings, table):
+        supervisor = Supervisor(settings.name, self.report)
+        role = await run_control(
+            settings, table, KEYS, supervisor, self.report
+        )
+        self.roles[settings.name] = (role, supervisor)
+
+    def stop_control(self, name):
+        role, supervisor = self.roles.pop(name)
+        self.call(self._stop(role, supervisor))
+
+    async def _stop(self, role, supervisor):
+        await supervisor.cancel()
+        await role.shut_down()
+        role.folder.close()
+
+    def find_leader(self):
+        """Return the name of the leader that all running ones agree on."""
+        leaders = {role.replicator.leader for role, _ in self.roles.values()}
+        fresh = all(role.find_health().good for role, _ in self.roles.values())
+        if len(leaders) > 1 or not fresh or not leaders <= set(self.roles):
+            return ''
+        return leaders.pop()
+
+    def start_node(self, name, keys=KEYS):
+        """Start a node; with the right key, wait until it is a member."""
+        self.call(self._start_node(name, keys))
+        if keys is KEYS:
+            self.wait(lambda: self.is_member(name))
+
+    def is_member(self, name):
+        """Tell whether all running control instances know the node."""
+        return all(
+            name in role.state.members for role, _ in self.roles.values()
+        )
+
+    async def _start_node(self, name, keys):
+        instances = tuple(self.links.values())
+        subscriber = build_subscriber(
+            name,
+            instances,
+            keys,
+            self.report,
+            self.applied.setdefault(name, []).append,
+        )
+        target = Target(
+            name=name,
+            service='soapfloor',
+            availability_zone='lautoka-a',
+            agent=Address('127.0.0.1', 1),
+            link=Address('127.0.0.1', 2),
+            incarnation=subscriber.subscription.incarnation,
+            slots=4,
+        )
+        task = asyncio.create_task(subscriber.run())
+        subscriber.announce(target=target)
+        self.nodes[name] = (subscriber, task)
+
+    def stop_node(self, name):
+        self.call(self._stop_node(*self.nodes.pop(name)))
+
+    async def _stop_node(self, _, task):
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    def stop(self):
+        for name in tuple(self.nodes):
+            self.stop_node(name)
+        for name in tuple(self.roles):
+            self.stop_control(name)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        shutil.rmtree(self.folder)
