--- a/packages/pistachiohook-cli/src/pistachiohook_cli/main.py
+++ b/packages/pistachiohook-cli/src/pistachiohook_cli/main.py
@@ -7,6 +7,7 @@
 from cyclopts import App
 from cyclopts import CycloptsError
 
+from .burn import setup as setup_burn
 from .configuration import apply
 from .configuration import check
 from .configuration import show
@@ -30,6 +31,7 @@
 for command in (check, apply, show, status, targets, drain):
     app.command(command)
 control.command(control_members, name='members')
+setup_burn(app)
 
 
 def main() -> None:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -7,15 +7,11 @@
 import secrets
 import shutil
 import socket
+import subprocess
 import sys
 from typing import Any
-import urllib.error
-import urllib.request
 
 import attrs
-from pistachiohook_core.configuration.documents import ChangeRequest
-from pistachiohook_core.configuration.documents import encode_document
-from pistachiohook_core.configuration.folder import read_folder
 from pistachiohook_standins.certificates import make_certificates
 from processes import ConditionError
 from processes import fetch_json
@@ -61,6 +57,9 @@
 #: Counts that the demo prints; all but the first must be 0.
 COUNTS = ('requests', 'lost', 'doubled', 'broken_flows', 'wrong_service')
 
+#: Exit status after Ctrl-C.
+STATUS_INTERRUPTED = 130
+
 #: Length of the link key, in bytes.
 KEY_LENGTH = 32
 
@@ -72,13 +71,11 @@
     :param folder: run folder
     :param settings: copy of the example for the claimed network
     :param network: start of the loopback addresses
-    :param token: bearer token of an operator
     """
 
     folder: Path
     settings: Path
     network: str
-    token: str = attrs.field(repr=False)
 
     def list_names(self, kind: str) -> list[str]:
         """Return the names of the settings files of one kind."""
@@ -100,6 +97,8 @@
             except ConditionError as error:
                 print(f'demo: {error}; logs in {place.folder}')
                 return 1
+            except KeyboardInterrupt:
+                return STATUS_INTERRUPTED
     print(json.dumps({name: counts[name] for name in COUNTS}))
     return 0 if is_clean(counts) else 1
 
@@ -143,7 +142,8 @@
     write_secret(folder / 'link.keys', secrets.token_hex(KEY_LENGTH) + '\n')
     token = secrets.token_hex(KEY_LENGTH)
     write_secret(folder / 'tokens', f'demo operator {token}\n')
-    return Place(folder, settings, network, token)
+    write_secret(folder / 'operator.token', token + '\n')
+    return Place(folder, settings, network)
 
 
 def write_secret(path: Path, text: str) -> None:
@@ -207,19 +207,29 @@
 
 
 def apply_configuration(place: Place) -> None:
-    """Apply the example's objects over the administration API."""
-    content = read_folder(place.settings / 'configuration')
-    change = ChangeRequest(0, secrets.token_hex(8), content.objects)
-    request = urllib.request.Request(
-        f'http://{place.network}2.1:8090/v1/configuration',
-        data=encode_document(change),
-        headers={'Authorization': f'Bearer {place.token}'},
-        method='PUT',
+    """Apply the example's objects and wait until they are in force."""
+    folder = str(place.settings / 'configuration')
+    accepted = json.loads(run_command(place, 'apply', folder, '--json'))
+    run_command(place, 'status', '--wait', str(accepted['revision']))
+
+
+def run_command(place: Place, *arguments: str) -> str:
+    """Run the operators' command line.
+
+    :returns: what it printed
+    :raises ConditionError: when its exit status is not 0
+    """
+    command = [sys.executable, '-m', 'pistachiohook_cli.main', *arguments]
+    command += ['--settings', str(place.settings / 'pistachiohook.toml')]
+    finished = subprocess.run(
+        command, capture_output=True, check=False, text=True
     )
-    try:
-        urllib.request.urlopen(request, timeout=START_TIMEOUT).close()
-    except urllib.error.HTTPError as error:
-        raise ConditionError(f'apply: {error.read()!r}') from error
+    if finished.returncode:
+        printed = finished.stdout + finished.stderr
+        raise ConditionError(
+            f'{arguments[0]} ended with {finished.returncode}: {printed}'
+        )
+    return finished.stdout
 
 
 def run_callers(place: Place, processes: Processes) -> dict[str, Any]:
