--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/load.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/load.py
@@ -10,12 +10,10 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from pistachiohook_core.membership.weights import LoadReported
+from pistachiohook_core.membership.weights import LoadReported as LoadTold
 from pistachiohook_core.membership.weights import RequestsMeasured
 from pistachiohook_core.membership.weights import WeightKeeper
-from pistachiohook_core.requests.scheduler_messages import (
-    LoadReported as SlotsReported,
-)
+from pistachiohook_core.requests.scheduler_messages import LoadReported
 from pistachiohook_core.requests.slot_messages import FreeSlotsReport
 from pistachiohook_core.requests.slot_messages import REPORT_INTERVAL
 from pistachiohook_core.requests.slot_messages import REPORTED_PEERS_MAX
@@ -90,9 +88,9 @@
             now = time.monotonic()
             if load is not None:
                 self.requests.handle(
-                    SlotsReported(load.slots, load.running, load.serving)
+                    LoadReported(load.slots, load.running, load.serving)
                 )
-                self.keeper.handle(LoadReported(load.running), now)
+                self.keeper.handle(LoadTold(load.running), now)
             measured = RequestsMeasured(self.requests.count_running())
             for change in self.keeper.handle(measured, now):
                 self.announce_weight(change.weight)
