--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,8 @@
 export PYTHONPATH := $(subst $(space),:,$(abspath $(SOURCES)))
 export PYTHONHASHSEED := 0
 
-.PHONY: setup demo test check format clean explore-consensus
+# Each measure prints its figures as one line of JSON at its end.
+.PHONY: setup demo test measure-flows check format clean explore-consensus
 
 setup: $(STAMP)
 
@@ -27,6 +28,9 @@
 test: setup
 	$(BIN)/python tools/scenarios.py
 
+measure-flows: setup
+	$(BIN)/python tools/measure_flows.py
+
 check: setup
 	$(BIN)/ruff format --check packages tests tools
 	$(BIN)/ruff check packages tests tools
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/flows.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/flows.py
@@ -75,6 +75,7 @@
 
     def open_flow(self, key: FlowKey) -> None:
         """Note that a handshake is complete."""
+        self.metrics.count('flows_opened')
         self.handle(FlowOpened(key))
 
     def end_flow(self, key: FlowKey) -> None:
--- a/packages/pistachiohook-standins/src/pistachiohook_standins/caller.py
+++ b/packages/pistachiohook-standins/src/pistachiohook_standins/caller.py
@@ -71,6 +71,7 @@
     :param interval: time between two lines, in seconds
     :param size: length of an upload, in bytes
     :param rate: speed of an upload, in bytes a second
+    :param ramp: time over which the flows begin, in seconds
     """
 
     kind: Kind
@@ -85,6 +86,7 @@
     interval: float = 0.1
     size: int = 1 << 20
     rate: float = 1e6
+    ramp: float = 0.0
 
 
 @attrs.frozen
@@ -119,10 +121,17 @@
 
 async def work_off(caller: Caller, work: Work) -> None:
     """Do one share of the work on its flows."""
-    await asyncio.gather(*(_use_flow(caller, work) for _ in range(work.flows)))
+    step = work.ramp / work.flows
+    await asyncio.gather(
+        *(
+            _use_flow(caller, work, number * step)
+            for number in range(work.flows)
+        )
+    )
 
 
-async def _use_flow(caller: Caller, work: Work) -> None:
+async def _use_flow(caller: Caller, work: Work, delay: float) -> None:
+    await asyncio.sleep(delay)
     act = {
         Kind.ORDERS: send_order,
         Kind.FEED: read_feed,
--- /dev/null
+++ b/tools/measure_flows.py
@@ -0,0 +1,238 @@
+"""Broken flows and imbalance over planned changes, on real processes."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+import sys
+import threading
+import time
+from typing import Any
+
+import attrs
+from demo import claim_network
+from demo import DAEMON
+from demo import is_clean
+from demo import Place
+from demo import prepare_place
+from demo import run_command
+from demo import start_system
+from demo import wait_for_health
+from processes import ConditionError
+from processes import fetch_json
+from processes import hold_processes
+from processes import Processes
+from processes import set_import_path
+from processes import wait_until
+
+#: Flows of orders that are held at once.
+FLOWS = 1000
+
+#: Time over which they begin, in seconds.
+RAMP = 25.0
+
+#: Longest wait for the flows and for the callers, in seconds.
+PATIENCE = 150.0
+
+#: Most that the busiest target may have of the mean.
+IMBALANCE_MAX = 1.25
+
+#: Longest time from a drain to no new work, in seconds.
+DRAIN_MAX = 3.0
+
+#: Time in which work at the drained target is looked at, in seconds.
+DRAIN_WATCH = 8.0
+
+#: Time between two looks at the drained target, in seconds.
+LOOK_INTERVAL = 0.02
+
+#: Longest graceful shutdown of a balancer, in seconds.
+STOP_TIMEOUT = 10.0
+
+#: Balancers by the last number of their addresses.
+BALANCERS = (1, 2, 3)
+
+#: Agents of soapfloor by the last number of their addresses.
+AGENTS = (1, 2, 3)
+
+#: The target that is drained, and the last number of its address.
+DRAINED = ('soapfloor-2', 2)
+
+#: What the callers do meanwhile.
+WORK = """
+ca = '{folder}/ca.pem'
+seed = 7
+targets = [{targets}]
+[[work]]
+kind = 'orders'
+service = 'soapfloor'
+address = '{network}0.1:4433'
+authority = 'soapfloor.example'
+flows = {flows}
+ramp = {ramp}
+requests = 10
+pause = 6.0
+[[work]]
+kind = 'feed'
+service = 'soapfloor'
+address = '{network}0.1:4433'
+authority = 'soapfloor.example'
+flows = 3
+lines = 700
+interval = 0.1
+timeout = 120.0
+[[work]]
+kind = 'upload'
+service = 'intake'
+address = '{network}0.2:4433'
+authority = 'intake.example'
+flows = 2
+size = 20000000
+rate = 300000.0
+timeout = 120.0
+"""
+
+
+@attrs.frozen
+class Findings:
+    """What one run has shown.
+
+    :param established: flows of soapfloor at the peak
+    :param imbalance: busiest target over the mean
+    :param drain: time from the drain to the last new work, in seconds
+    :param counts: what callers and targets counted
+    """
+
+    established: int
+    imbalance: float
+    drain: float
+    counts: dict[str, Any]
+
+
+def main() -> int:
+    """Measure, and print one line of JSON.
+
+    :returns: 0 when every bound holds, else 1
+    """
+    set_import_path(sorted(Path('packages').glob('*/src')))
+    with claim_network() as claim:
+        place = prepare_place(claim.getsockname()[0])
+        with hold_processes(place.folder) as processes:
+            try:
+                start_system(place, processes)
+                findings = run_changes(place, processes)
+            except ConditionError as error:
+                print(f'measure-flows: {error}; logs in {place.folder}')
+                return 1
+    return report(findings)
+
+
+def report(findings: Findings) -> int:
+    """Print the findings and compare them with the bounds."""
+    line = {
+        'established': findings.established,
+        'broken': findings.counts['broken_flows'],
+        'imbalance_max_over_mean': round(findings.imbalance, 3),
+        'drain_to_no_new_work_s': round(findings.drain, 2),
+        **{
+            name: count
+            for name, count in findings.counts.items()
+            if name != 'broken_flows'
+        },
+    }
+    print(json.dumps(line))
+    good = (
+        findings.established >= FLOWS
+        and findings.imbalance <= IMBALANCE_MAX
+        and findings.drain <= DRAIN_MAX
+        and is_clean(findings.counts)
+    )
+    return 0 if good else 1
+
+
+def run_changes(place: Place, processes: Processes) -> Findings:
+    """Hold flows over a rolling restart, a drain and a kill."""
+    start_callers(place, processes)
+    held: list[int] = []
+
+    def is_ramped() -> bool:
+        held[:] = [count_flows(place, number) for number in AGENTS]
+        return sum(held) >= FLOWS
+
+    wait_until('every flow is established', is_ramped, PATIENCE)
+    restart_balancers(place, processes)
+    drain = measure_drain(place)
+    processes.kill('balancers-balancer-3')
+    processes.wait('caller', PATIENCE)
+    lines = processes.read_log('caller').splitlines()
+    mean = sum(held) / len(held)
+    return Findings(sum(held), max(held) / mean, drain, json.loads(lines[-1]))
+
+
+def start_callers(place: Place, processes: Processes) -> None:
+    """Start all callers' work."""
+    targets = ', '.join(
+        f"'http://{place.network}3.{number}:8000'" for number in range(1, 6)
+    )
+    settings = place.settings / 'measure.toml'
+    settings.write_text(
+        WORK.format(
+            folder=place.folder,
+            network=place.network,
+            targets=targets,
+            flows=FLOWS,
+            ramp=RAMP,
+        )
+    )
+    processes.start('caller', 'pistachiohook_standins.caller', settings)
+
+
+def count_flows(place: Place, number: int) -> int:
+    """Return the flows that an agent holds."""
+    url = f'http://{place.network}3.{number}:8080/histograms'
+    counts = (fetch_json(url) or {'counts': {}})['counts']
+    opened: int = counts.get('flows_opened', 0)
+    ended: int = counts.get('flows_ended', 0)
+    return opened - ended
+
+
+def restart_balancers(place: Place, processes: Processes) -> None:
+    """Restart one balancer after another, in order."""
+    for number in BALANCERS:
+        name = f'balancers-balancer-{number}'
+        processes.terminate(name, STOP_TIMEOUT)
+        settings = place.settings / 'balancers' / f'balancer-{number}.toml'
+        processes.start(name, DAEMON, settings)
+        wait_for_health(place, processes, [f'1.{number}'])
+
+
+def measure_drain(place: Place) -> float:
+    """Drain a target and look at the work that still begins there.
+
+    :returns: time from the command to the last new work, in seconds
+    """
+    name, number = DRAINED
+    url = f'http://{place.network}3.{number}:8000/runs'
+    started = time.monotonic()
+    draining = threading.Thread(
+        target=run_command, args=(place, 'drain', name)
+    )
+    draining.start()
+    last, known = 0.0, count_runs(url)
+    while (elapsed := time.monotonic() - started) < DRAIN_WATCH:
+        runs = count_runs(url)
+        if runs > known:
+            last, known = elapsed, runs
+        time.sleep(LOOK_INTERVAL)
+    draining.join()
+    return last
+
+
+def count_runs(url: str) -> int:
+    """Return the runs that a target has begun."""
+    runs: dict[str, int] = (fetch_json(url) or {'runs': {}})['runs']
+    return sum(runs.values())
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -69,6 +69,18 @@
         process.kill()
         process.wait()
 
+    def terminate(self, name: str, timeout: float) -> int:
+        """End one process in order.
+
+        :param timeout: longest wait, in seconds
+        :returns: its exit status
+        :raises ConditionError: when it takes longer
+        """
+        self.running[name].terminate()
+        status = self.wait(name, timeout)
+        del self.running[name]
+        return status
+
     def wait(self, name: str, timeout: float) -> int:
         """Wait for one process to end by itself.
 
