--- a/tests/core/consensus/network.feature
+++ b/tests/core/consensus/network.feature
@@ -72,3 +72,9 @@
     And 5 accepted changes
     When the leader gets no further message
     Then a read on the leader is not answered
+
+  Scenario: A heartbeat that was under way for long proves nothing
+    Given 3 control instances that all vote
+    And 5 accepted changes
+    When all messages of one heartbeat arrive 10 seconds late
+    Then the freshness of every instance passes 9 seconds
--- a/tests/core/consensus/rules.feature
+++ b/tests/core/consensus/rules.feature
@@ -73,3 +73,12 @@
     And "d/1" and "e/1" ask to be let in
     Then no change begins before an entry of term 6 is committed
     And the second change begins only after the first is committed
+
+  Scenario: A new leader answers no read before an entry of its own term
+    Given a replica in term 5 that voted for "a/1" and whose last entry is 10 of term 4
+    When it becomes the leader of term 6
+    And a read begins
+    And "b/1" answers the read's round and holds the entries up to 10
+    Then the read is not answered, and no quorum is proved
+    When "b/1" answers the read's round and holds the entries up to 11
+    Then the read is answered at 11
--- a/tests/core/consensus/steps/network_steps.py
+++ b/tests/core/consensus/steps/network_steps.py
@@ -179,3 +179,20 @@
     for name in context.cluster.names:
         held = {int(each) for each in context.cluster.commands(name)}
         assert not held & set(context.lost)
+
+
+@when('all messages of one heartbeat arrive {seconds:d} seconds late')
+def delay_all(context, seconds):
+    cluster = context.cluster
+    while not cluster.flying:
+        cluster.tick()
+    late = len(cluster.flying)
+    cluster.now += seconds
+    for _ in range(late):
+        cluster.deliver()
+
+
+@then('the freshness of every instance passes {seconds:d} seconds')
+def check_ages(context, seconds):
+    for name in context.cluster.names:
+        assert context.cluster.freshness(name) > seconds, name
--- a/tests/core/consensus/steps/rule_steps.py
+++ b/tests/core/consensus/steps/rule_steps.py
@@ -14,6 +14,8 @@
 from pistachiohook_core.consensus.events import Apply
 from pistachiohook_core.consensus.events import Persist
 from pistachiohook_core.consensus.events import Propose
+from pistachiohook_core.consensus.events import Read
+from pistachiohook_core.consensus.events import ReadReady
 from pistachiohook_core.consensus.events import Received
 from pistachiohook_core.consensus.events import Send
 from pistachiohook_core.consensus.events import Tick
@@ -25,6 +27,7 @@
 from pistachiohook_core.consensus.messages import Vote
 from pistachiohook_core.consensus.messages import VoteAnswer
 from pistachiohook_core.consensus.raft import handle
+from pistachiohook_core.consensus.reading import measure_freshness
 from pistachiohook_core.consensus.replica import create_replica
 from pistachiohook_core.consensus.replica import Timing
 
@@ -244,3 +247,28 @@
     assert count_changes(context) == 1
     match(context, 'b/1', 12)
     assert count_changes(context) == 2
+
+
+@when('a read begins')
+def begin_read(context):
+    feed(context, Read(1))
+
+
+@when(
+    '"{sender}" answers the read\'s round and holds the entries up to '
+    '{matched:d}'
+)
+def answer_round(context, sender, matched):
+    probe = context.replica.probe
+    tell(context, AppendAnswer, sender, 6, True, matched, probe)
+
+
+@then('the read is not answered, and no quorum is proved')
+def check_unread(context):
+    assert ReadReady not in {type(action) for action in context.actions}
+    assert measure_freshness(context.replica, context.now) == float('inf')
+
+
+@then('the read is answered at {index:d}')
+def check_read(context, index):
+    assert ReadReady(1, index) in context.actions
