--- a/tools/demo.py
+++ b/tools/demo.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 from pathlib import Path
 import secrets
 import shutil
@@ -40,9 +39,6 @@
 #: Certificates that the example's agents show.
 AUTHORITIES = ('soapfloor.example', 'intake.example')
 
-#: Tokens of the administration API.
-TOKENS = ''
-
 #: Module of the daemon.
 DAEMON = 'pistachiohook_daemon.main'
 
@@ -61,6 +57,9 @@
 #: Counts that the demo prints; all but the first must be 0.
 COUNTS = ('requests', 'lost', 'doubled', 'broken_flows', 'wrong_service')
 
+#: Exit status after Ctrl-C.
+STATUS_INTERRUPTED = 130
+
 #: Length of the link key, in bytes.
 KEY_LENGTH = 32
 
@@ -98,6 +97,8 @@
             except ConditionError as error:
                 print(f'demo: {error}; logs in {place.folder}')
                 return 1
+            except KeyboardInterrupt:
+                return STATUS_INTERRUPTED
     print(json.dumps({name: counts[name] for name in COUNTS}))
     return 0 if is_clean(counts) else 1
 
@@ -139,7 +140,9 @@
         copy.write_text(text.replace(RUN_FOLDER, str(folder)))
     make_certificates(folder, AUTHORITIES)
     write_secret(folder / 'link.keys', secrets.token_hex(KEY_LENGTH) + '\n')
-    write_secret(folder / 'tokens.toml', TOKENS)
+    token = secrets.token_hex(KEY_LENGTH)
+    write_secret(folder / 'tokens', f'demo operator {token}\n')
+    write_secret(folder / 'operator.token', token + '\n')
     return Place(folder, settings, network)
 
 
@@ -204,19 +207,29 @@
 
 
 def apply_configuration(place: Place) -> None:
-    """Apply the example's objects as an operator does."""
-    command = [sys.executable, '-m', 'pistachiohook_cli.main', 'apply']
-    command += [str(place.settings / 'configuration')]
-    environment = {
-        **os.environ,
-        'PISTACHIOHOOK_CONTROL': f'{place.network}2.1:8090',
-    }
+    """Apply the example's objects and wait until they are in force."""
+    folder = str(place.settings / 'configuration')
+    accepted = json.loads(run_command(place, 'apply', folder, '--json'))
+    run_command(place, 'status', '--wait', str(accepted['revision']))
+
+
+def run_command(place: Place, *arguments: str) -> str:
+    """Run the operators' command line.
+
+    :returns: what it printed
+    :raises ConditionError: when its exit status is not 0
+    """
+    command = [sys.executable, '-m', 'pistachiohook_cli.main', *arguments]
+    command += ['--settings', str(place.settings / 'pistachiohook.toml')]
     finished = subprocess.run(
-        command, capture_output=True, check=False, env=environment, text=True
+        command, capture_output=True, check=False, text=True
     )
     if finished.returncode:
-        text = finished.stdout + finished.stderr
-        raise ConditionError(f'apply ended with {finished.returncode}: {text}')
+        printed = finished.stdout + finished.stderr
+        raise ConditionError(
+            f'{arguments[0]} ended with {finished.returncode}: {printed}'
+        )
+    return finished.stdout
 
 
 def run_callers(place: Place, processes: Processes) -> dict[str, Any]:
@@ -232,7 +245,7 @@
     )
     wait_until(
         'orders, feeds and uploads in progress',
-        lambda: is_under_way(place),
+        lambda: is_under_way(place, processes),
         START_TIMEOUT,
     )
     processes.kill(VICTIM)
@@ -245,8 +258,12 @@
     return counts
 
 
-def is_under_way(place: Place) -> bool:
-    """Tell whether every kind of work is in progress."""
+def is_under_way(place: Place, processes: Processes) -> bool:
+    """Tell whether every kind of work is in progress.
+
+    :raises ConditionError: when a process has ended by itself
+    """
+    refuse_ended(processes)
     targets = [
         fetch_json(f'http://{place.network}3.{number}:8000/runs')
         for number in range(1, 6)
