--- a/tests/core/consensus/rules.feature
+++ b/tests/core/consensus/rules.feature
@@ -82,3 +82,32 @@
     Then the read is not answered, and no quorum is proved
     When "b/1" answers the read's round and holds the entries up to 11
     Then the read is answered at 11
+
+  Scenario Outline: The only voter of <named> named instances <verdict>
+    Given a replica that is the only voter, where <named> instances are named
+    When a command is proposed
+    Then it <verdict>
+
+    Examples:
+      | named | verdict                       |
+      | 1     | accepts the command           |
+      | 2     | refuses for want of voters    |
+      | 3     | refuses for want of voters    |
+      | 5     | refuses for want of voters    |
+
+  Scenario: A learner votes once it holds what is committed
+    Given a replica in term 5 that voted for "a/1" and whose last entry is 10 of term 4
+    When it becomes the leader of term 6
+    And "b/1" holds the entries up to 11
+    And "d/1" is let in as a learner
+    Then "d/1" does not vote when it holds the entries up to 0
+    And "d/1" does not vote when it holds the entries up to 11
+    And "d/1" votes when it holds the entries up to 12
+
+  Scenario: A learner does not take the place of a voter that is alive
+    Given a replica in term 5 that voted for "a/1" and whose last entry is 10 of term 4
+    When it becomes the leader of term 6
+    And "b/1" holds the entries up to 11
+    And "b/2" is let in as a learner
+    Then "b/2" does not vote when it holds the entries up to 12
+    And "b/1" is still a voter
