--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 export PYTHONPATH := $(subst $(space),:,$(abspath $(SOURCES)))
 export PYTHONHASHSEED := 0
 
-.PHONY: setup demo test check format clean explore-consensus
+.PHONY: setup demo test check format clean explore-consensus measure-control
 
 setup: $(STAMP)
 
@@ -40,5 +40,8 @@
 	$(BIN)/ruff format packages tests tools
 	$(BIN)/ruff check --fix packages tests tools
 
+measure-control: setup
+	$(BIN)/python tools/measure_control.py
+
 clean:
 	rm -rf $(VENV) build
