--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,15 @@
 export PYTHONPATH := $(subst $(space),:,$(abspath $(SOURCES)))
 export PYTHONHASHSEED := 0
 
-# Each measure prints its figures as one line of JSON at its end.
-.PHONY: setup demo test measure-flows check format clean explore-consensus
+.PHONY: check
+.PHONY: clean
+.PHONY: demo
+.PHONY: explore-consensus
+.PHONY: format
+.PHONY: measure-control
+.PHONY: measure-flows
+.PHONY: setup
+.PHONY: test
 
 setup: $(STAMP)
 
@@ -44,5 +51,8 @@
 	$(BIN)/ruff format packages tests tools
 	$(BIN)/ruff check --fix packages tests tools
 
+measure-control: setup
+	$(BIN)/python tools/measure_control.py
+
 clean:
 	rm -rf $(VENV) build
