Measure the crest and the blocking, start what fits beside a full queue

The ledger's answers to reads now name the question: an answer to an earlier question, or to an earlier start of the reader, could pass for a fresh one.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 export PYTHONHASHSEED := 0
 
 .PHONY: setup demo test check format clean
+.PHONY: measure-crest measure-blocking
 
 setup: $(STAMP)
 
@@ -27,6 +28,12 @@
 test: setup
 	$(BIN)/python tools/scenarios.py
 
+measure-crest: setup
+	$(BIN)/python tools/measure_crest.py
+
+measure-blocking: setup
+	$(BIN)/python tools/measure_blocking.py
+
 check: setup
 	$(BIN)/ruff format --check packages tests tools
 	$(BIN)/ruff check packages tests tools
--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/estimates.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/estimates.py
@@ -25,8 +25,9 @@
 #: Most estimates that are kept; the longest unused goes first.
 ESTIMATES_MAX = 1024
 
-#: Request bodies are told apart by powers of this size, in bytes.
-SIZE_FACTOR = 16
+#: Request bodies are told apart by how many times their length, in bytes,
+#: halves; so many halvings make one class.
+SIZE_CLASS_BITS = 4
 
 
 @attrs.frozen
@@ -91,4 +92,4 @@
 
 
 def _classify(route: str, size: int) -> tuple[str, int]:
-    return route, int(math.log(max(1, size), SIZE_FACTOR))
+    return route, size.bit_length() // SIZE_CLASS_BITS
--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/ledger_client.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/ledger_client.py
@@ -171,6 +171,7 @@
     history: History
     _inquiries: dict[str, _Inquiry] = attrs.field(factory=dict, init=False)
     _runs: dict[str, _Run] = attrs.field(factory=dict, init=False)
+    _asked: int = attrs.field(default=0, init=False)
     _asked_sightings: bool = attrs.field(default=False, init=False)
 
     def handle(self, event: Event, now: float) -> tuple[Action, ...]:
@@ -213,7 +214,8 @@
         waiting = inquiry.begun if begins else inquiry.looked_up
         waiting[event.id] = event.deadline
         inquiry.reads.clear()
-        inquiry.number += 1
+        self._asked += 1
+        inquiry.number = self._asked
         return [*self._ask(inquiry, now)]
 
     def _check_key(
@@ -244,7 +246,7 @@
         message = (
             Propose(key, inquiry.digest, self._self, sets)
             if may_vote
-            else Read(key, None, inquiry.number)
+            else Read(key, self._self, inquiry.number)
         )
         return [Send(replica, message) for replica in replicas]
 
@@ -252,7 +254,7 @@
         match event.message:
             case ProposeAnswer(key) | ReadAnswer(key):
                 inquiry = self._inquiries.get(key)
-                if not inquiry:
+                if not inquiry or not self._is_mine(event.message, inquiry):
                     return []
                 _take_answer(inquiry, event.message)
                 return self._conclude(inquiry, now)
@@ -265,6 +267,14 @@
                 self.history.merge(sightings)
         return []
 
+    def _is_mine(
+        self, answer: ProposeAnswer | ReadAnswer, inquiry: _Inquiry
+    ) -> bool:
+        """Return whether an answer is to this start's open question."""
+        return isinstance(answer, ProposeAnswer) or (
+            answer.reader == self._self and answer.number == inquiry.number
+        )
+
     def _conclude(self, inquiry: _Inquiry, now: float) -> list[Action]:
         records = inquiry.records
         if any(record.digest != inquiry.digest for record in records):
@@ -462,8 +472,7 @@
 ) -> None:
     name = answer.replica.agent
     if isinstance(answer, ReadAnswer):
-        if answer.number == inquiry.number:
-            inquiry.reads[name] = answer
+        inquiry.reads[name] = answer
         return
     known = inquiry.votes.get(name)
     if not known or known.replica <= answer.replica:
--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/ledger_messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/ledger_messages.py
@@ -104,13 +104,13 @@
     """Ask a replica what it stores of a key.
 
     :param key: the key
-    :param reader: who asks, when it is a replica that has restarted
-    :param number: distinguishes the reader's questions
+    :param reader: who asks
+    :param number: distinguishes the questions of this start of the reader
     """
 
     key: str
-    reader: Holder | None
-    number: int
+    reader: Holder
+    number: int = 0
 
 
 @attrs.frozen
@@ -119,6 +119,7 @@
 
     :param key: the key
     :param replica: who answers
+    :param reader: who asked
     :param number: that of the question
     :param remembers: whether it would know of a vote of its own
     :param record: what it stores
@@ -126,6 +127,7 @@
 
     key: str
     replica: Holder
+    reader: Holder
     number: int
     remembers: bool
     record: Record | None
--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/ledger_replica.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/ledger_replica.py
@@ -132,7 +132,7 @@
             return ()
         self._recoveries.setdefault(key, _Recovery())
         return tuple(
-            Send(other, Read(key, self._self, 0))
+            Send(other, Read(key, self._self))
             for other in others
             if other != self.name
         )
@@ -202,25 +202,25 @@
         )
 
     def _read(self, peer: str, message: Read, now: float) -> tuple[Send, ...]:
-        if reader := message.reader:
-            known = self._restarts.get(reader.agent, 0)
-            self._restarts[reader.agent] = max(known, reader.incarnation)
+        reader = message.reader
+        known = self._restarts.get(reader.agent, 0)
+        self._restarts[reader.agent] = max(known, reader.incarnation)
         remembers = self._remembers(message.key) and self._may_store(
             message.key, now
         )
-        record = self._records.get(message.key)
-        return (
-            Send(
-                peer,
-                ReadAnswer(
-                    message.key, self._self, message.number, remembers, record
-                ),
-            ),
+        answer = ReadAnswer(
+            message.key,
+            self._self,
+            reader,
+            message.number,
+            remembers,
+            self._records.get(message.key),
         )
+        return (Send(peer, answer),)
 
     def _recover(self, message: ReadAnswer) -> None:
         recovery = self._recoveries.get(message.key)
-        if recovery is not None:
+        if recovery is not None and message.reader == self._self:
             recovery.answers[message.replica.agent] = message
 
     def _settle(self, record: Record) -> None:
--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/scheduler.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/scheduler.py
@@ -39,13 +39,14 @@
 from .scheduler_messages import TargetFailed
 from .scheduler_messages import Tick
 from .waiting import FlowUsage
-from .waiting import Rank
 from .waiting import rank_waiting
 from .waiting import Waiting
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from .waiting import Rank
+
 #: Longest wait behind shorter requests, in seconds.
 AGING_BOUND = 2.0
 
@@ -205,9 +206,9 @@
         )
 
     def _estimate_wait(self, waiting: Waiting, now: float) -> float:
-        limit = self._limit.compute(now)
-        if len(self._running) < limit and not self._waiting:
+        if self._may_start(waiting.request, now):
             return 0.0
+        limit = self._limit.compute(now)
         rank = self._rank(waiting, now)
         ahead = sum(
             self._expect(other.request, now).mean
@@ -217,6 +218,19 @@
         left = sum(self._estimate_left(r, now) for r in self._running.values())
         return (ahead + left) / limit
 
+    def _may_start(self, request: Request, now: float) -> bool:
+        """Return whether a slot is free that the request may take.
+
+        What waits beside a free slot may not take it.
+        """
+        if len(self._running) >= self._limit.compute(now):
+            return False
+        return self._has_room(now) or self._is_short(request, now)
+
+    def _has_room(self, now: float) -> bool:
+        """Return whether one more long request may run."""
+        return self._count_long(now) < self._limit.compute_for_long(now)
+
     def _estimate_left(self, running: _Running, now: float) -> float:
         expected = self._expect(running.waiting.request, now).mean
         elapsed = now - running.started
@@ -237,7 +251,8 @@
             return self._move(waiting, now)
         if now >= waiting.request.deadline:
             return False
-        if len(self._waiting) >= self.settings.queue_limit:
+        full = len(self._waiting) >= self.settings.queue_limit
+        if full and not self._may_start(waiting.request, now):
             return self._move(waiting, now) or self._displace(waiting, now)
         self._enqueue(waiting, now)
         return True
@@ -442,12 +457,12 @@
             self._start(waiting, now)
 
     def _choose(self, now: float) -> Waiting | None:
-        room = self._limit.compute_for_long(now) - self._count_long(now)
+        room = self._has_room(now)
         return min(
             (
                 waiting
                 for waiting in self._waiting.values()
-                if room > 0 or self._is_short(waiting.request, now)
+                if room or self._is_short(waiting.request, now)
             ),
             key=lambda waiting: self._rank(waiting, now),
             default=None,
--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/waiting.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/waiting.py
@@ -60,18 +60,10 @@
             del self._used[next(iter(self._used))]
 
 
-@attrs.frozen(order=True)
-class Rank:
-    """Place in the order of the waiting requests; the smallest goes first.
-
-    :param punctual: false once the request has waited for the aging bound
-    :param cost: expected run time and use of the flow, in seconds
-    :param arrived: when it arrived
-    """
-
-    punctual: bool
-    cost: float
-    arrived: float
+#: Place in the order of the waiting requests, the smallest first: whether it
+#: has not yet waited for the aging bound, expected run time and use of the
+#: flow in seconds, and when it arrived.
+Rank = tuple[bool, float, float]
 
 
 def rank_waiting(
@@ -92,6 +84,6 @@
     """
     waited = now - waiting.arrived
     if waited >= aging_bound:
-        return Rank(False, 0.0, waiting.arrived)
+        return False, 0.0, waiting.arrived
     used = waiting.used * 0.5 ** (waited / USAGE_HALF_LIFE)
-    return Rank(True, estimate.typical + used, waiting.arrived)
+    return True, estimate.typical + used, waiting.arrived
