--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,9 @@
 .PHONY: demo
 .PHONY: explore-consensus
 .PHONY: format
+.PHONY: measure-blocking
 .PHONY: measure-control
+.PHONY: measure-crest
 .PHONY: measure-flows
 .PHONY: setup
 .PHONY: test
@@ -37,6 +39,11 @@
 
 measure-flows: setup
 	$(BIN)/python tools/measure_flows.py
+measure-crest: setup
+	$(BIN)/python tools/measure_crest.py
+
+measure-blocking: setup
+	$(BIN)/python tools/measure_blocking.py
 
 check: setup
 	$(BIN)/ruff format --check packages tests tools
