--- a/Makefile
+++ b/Makefile
@@ -3,14 +3,14 @@
 BIN := $(VENV)/bin
 PIP := $(BIN)/python -m pip --quiet --disable-pip-version-check
 STAMP := $(VENV)/.installed
-SOURCES := $(wildcard packages/*/src)
+SOURCES := $(wildcard packages/*/src) tools
 PACKAGES := $(dir $(wildcard packages/*/pyproject.toml))
 empty :=
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(abspath $(SOURCES)))
 export PYTHONHASHSEED := 0
 
-.PHONY: setup demo test check format clean
+.PHONY: setup demo test check format docs clean
 
 setup: $(STAMP)
 
@@ -37,5 +37,8 @@
 	$(BIN)/ruff format packages tests tools
 	$(BIN)/ruff check --fix packages tests tools
 
+docs: setup
+	$(BIN)/python tools/write_docs.py
+
 clean:
 	rm -rf $(VENV) build
--- /dev/null
+++ b/tools/write_docs.py
@@ -0,0 +1,156 @@
+"""Write the pages that come from registries in the code."""
+
+from __future__ import annotations
+
+from pathlib import Path
+import sys
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+from pistachiohook_core.configuration import objects
+from pistachiohook_core.events import EVENTS
+from pistachiohook_core.tables import describe_key
+from pistachiohook_core.tables import list_keys
+from pistachiohook_daemon.settings import Settings
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+#: Folder of the pages.
+DOCS = Path('docs')
+
+_TABLE_HEAD = '| key | value | default | meaning |\n|---|---|---|---|\n'
+
+_EVENTS_HEAD = """# Events
+
+Every line of a log names one of these numbers. The numbers are stable.
+`make docs` writes this page from the registry in `pistachiohook_core.events`.
+
+| number | level | what happened | what to do |
+|---|---|---|---|
+"""
+
+_SETTINGS_HEAD = """# Settings of the daemon
+
+`pistachiohookd --settings FILE` reads one TOML file. A missing key, an unknown
+key, a wrong type, a bad address or an unreadable file gets a line each on
+standard error; nothing is started and the exit status is 2.
+`make docs` writes this page from the settings model.
+"""
+
+_OBJECTS_HEAD = """# Configuration objects
+
+An object stands in a `*.toml` file of a folder as a table `[KIND.NAME]`.
+`pistachiohook check DIR` checks the whole set, `pistachiohook apply DIR` puts
+it in place of the one before. `make docs` writes this page from the registry.
+"""
+
+
+def main() -> int:
+    """Write every page, or with ``--check`` compare each with its file.
+
+    :returns: 0, or 1 when a file differs
+    """
+    pages = render_pages()
+    if '--check' not in sys.argv[1:]:
+        for path, text in pages.items():
+            path.write_text(text)
+        return 0
+    stale = find_stale(pages)
+    for path in stale:
+        print(f'{path} differs from the code; run make docs')
+    return 1 if stale else 0
+
+
+def render_pages() -> dict[Path, str]:
+    """Return the text of each page."""
+    return {
+        DOCS / 'events.md': render_events(),
+        DOCS / 'settings.md': render_settings(),
+        DOCS / 'objects.md': render_objects(),
+    }
+
+
+def find_stale(pages: dict[Path, str]) -> list[Path]:
+    """Return the pages whose files differ."""
+    return [
+        path
+        for path, text in pages.items()
+        if not path.exists() or path.read_text() != text
+    ]
+
+
+def render_events() -> str:
+    """Return the page of the events."""
+    rows = [
+        f'| {number} | {event.level.value} | {event.text} | {event.action} |\n'
+        for number, event in sorted(EVENTS.items())
+    ]
+    return _EVENTS_HEAD + ''.join(rows)
+
+
+def render_settings() -> str:
+    """Return the page of the settings."""
+    return _SETTINGS_HEAD + ''.join(_render_table('', Settings))
+
+
+def render_objects() -> str:
+    """Return the page of the configuration objects."""
+    sections = [
+        f'\n## {kind}\n\n'
+        + _TABLE_HEAD
+        + ''.join(_render_object_key(key) for key in objects.list_keys(kind))
+        for kind in objects.KINDS
+    ]
+    return _OBJECTS_HEAD + ''.join(sections)
+
+
+def _render_object_key(key: objects.Key) -> str:
+    unit = f' of {key.unit}' if key.unit else ''
+    limits = f' from {key.low:g} to {key.high:g}' if key.high else ''
+    default = 'required' if key.default is None else _show(key.default)
+    return (
+        f'| `{key.name}` | {key.form.value}{unit}{limits} | {default} '
+        f'| {key.text} |\n'
+    )
+
+
+def _render_table(name: str, table: type) -> Iterator[str]:
+    title = f'table `{name}`' if name else 'top of the file'
+    yield f'\n## {title}\n\n'
+    yield _TABLE_HEAD
+    keys = list_keys(table)
+    for field, known in keys:
+        default = (
+            'required'
+            if field.default is attrs.NOTHING
+            else _show(field.default)
+        )
+        yield (
+            f'| `{field.name}` | {describe_key(known)} | {default} '
+            f'| {known.text} |\n'
+        )
+    yield from _render_nested(name, keys)
+
+
+def _render_nested(
+    name: str, keys: Iterable[tuple[attrs.Attribute[Any], Any]]
+) -> Iterator[str]:
+    for field, known in keys:
+        if known.table is not None:
+            prefix = f'{name}.' if name else ''
+            yield from _render_table(f'{prefix}{field.name}', known.table)
+
+
+def _show(default: object) -> str:
+    if default is None or default == ():
+        return 'none'
+    if attrs.has(type(default)):
+        return 'its defaults'
+    return f'`{default}`'
+
+
+if __name__ == '__main__':
+    sys.exit(main())
