--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,6 @@
 export PYTHONPATH := $(subst $(space),:,$(abspath $(SOURCES)))
 export PYTHONHASHSEED := 0
 
-
 .PHONY: setup demo test check format docs clean explore-consensus
 
 setup: $(STAMP)
