Add the load tool, and experiments with faults by time

Demand arrives by itself, steady, in steps or as a wave, with stragglers; a seed plans the same arrivals again. tools/experiment.py starts the example, runs the load tool and kills, terminates, starts, drains and applies by time.

--- a/packages/pistachiohook-standins/src/pistachiohook_standins/flows.py
+++ b/packages/pistachiohook-standins/src/pistachiohook_standins/flows.py
@@ -42,6 +42,10 @@
 HANDSHAKE_TIMEOUT = 10.0
 
 
+#: Error code of a request that the caller gave up (RFC 9114, 8.1).
+REQUEST_CANCELLED = 0x10C
+
+
 class FlowLostError(Exception):
     """The flow ended without the caller's own close."""
 
@@ -129,6 +133,15 @@
         self._http.send_data(exchange.stream, data, end)
         self.transmit()
 
+    def cancel(self, exchange: Exchange) -> None:
+        """Give a request up: no more body, and no answer."""
+        self._exchanges.pop(exchange.stream, None)
+        if not self.lost:
+            with contextlib.suppress(AssertionError, ValueError):
+                self._quic.stop_stream(exchange.stream, REQUEST_CANCELLED)
+                self._quic.reset_stream(exchange.stream, REQUEST_CANCELLED)
+            self.transmit()
+
     async def read_headers(self, exchange: Exchange) -> dict[str, str]:
         """Wait for the headers of the answer.
 
--- a/tests/standins/path/path.feature
+++ b/tests/standins/path/path.feature
@@ -28,6 +28,24 @@
       | answer with another digest | crossed   |
       | reset every flow       | broken_flows  |
 
+  Scenario Outline: A request that was not answered is not called refused
+    Given a service behind a fabric with loss 0, reordering 0 and duplication 0
+    And the service does <fault>
+    When a caller sends 1 orders, a feed of 1 lines and an upload of 10 bytes
+    Then <lost> requests are lost and <refused> refused
+
+    Examples:
+      | fault               | lost | refused |
+      | refuse all          | 3    | 3       |
+      | refuse once, then answer | 0 | 0     |
+      | never answer        | 3    | 0       |
+
+  Scenario: Arrivals follow the demand and the seed
+    Given a demand of 10 a second with a crest of 50 in each second half of 4 seconds
+    When arrivals are planned for 400 seconds with seed 7
+    Then about 2000 lie off the crest and 10000 at it
+    And the same seed plans the same again
+
   Scenario: A balancer without health gets no datagram
     Given a service behind a fabric with loss 0, reordering 0 and duplication 0
     And a second balancer whose health endpoint answers 503
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -77,6 +77,14 @@
     settings: Path
     network: str
 
+    def copy_file(self, source: Path) -> Path:
+        """Copy a settings file for the claimed network and this folder."""
+        copy = self.settings / source.relative_to(EXAMPLE)
+        copy.parent.mkdir(parents=True, exist_ok=True)
+        text = source.read_text().replace(NETWORK, self.network)
+        copy.write_text(text.replace(RUN_FOLDER, str(self.folder)))
+        return copy
+
     def list_names(self, kind: str) -> list[str]:
         """Return the names of the settings files of one kind."""
         return sorted(file.stem for file in (self.settings / kind).iterdir())
@@ -132,18 +140,15 @@
     if network != NETWORK:
         folder = folder.with_name(f'lautoka-{network.split(".")[1]}')
     shutil.rmtree(folder, ignore_errors=True)
-    settings = folder / 'settings'
+    place = Place(folder, folder / 'settings', network)
     for source in EXAMPLE.rglob('*.toml'):
-        copy = settings / source.relative_to(EXAMPLE)
-        copy.parent.mkdir(parents=True, exist_ok=True)
-        text = source.read_text().replace(NETWORK, network)
-        copy.write_text(text.replace(RUN_FOLDER, str(folder)))
+        place.copy_file(source)
     make_certificates(folder, AUTHORITIES)
     write_secret(folder / 'link.keys', secrets.token_hex(KEY_LENGTH) + '\n')
     token = secrets.token_hex(KEY_LENGTH)
     write_secret(folder / 'tokens', f'demo operator {token}\n')
     write_secret(folder / 'operator.token', token + '\n')
-    return Place(folder, settings, network)
+    return place
 
 
 def write_secret(path: Path, text: str) -> None:
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -42,10 +42,12 @@
 
     :param folder: where each process writes ``NAME.log``
     :param running: processes by name
+    :param leaving: processes that were told to stop
     """
 
     folder: Path
     running: dict[str, subprocess.Popen[bytes]] = attrs.field(factory=dict)
+    leaving: list[subprocess.Popen[bytes]] = attrs.field(factory=list)
 
     def start(self, name: str, module: str, settings: Path) -> None:
         """Start a module of the workspace with a settings file.
@@ -69,6 +71,12 @@
         process.kill()
         process.wait()
 
+    def terminate(self, name: str) -> None:
+        """Begin the graceful shutdown of one process."""
+        process = self.running.pop(name)
+        self.leaving.append(process)
+        process.terminate()
+
     def wait(self, name: str, timeout: float) -> int:
         """Wait for one process to end by itself.
 
@@ -98,6 +106,7 @@
         :returns: names of those that had to be killed
         """
         processes = list(reversed(self.running.items()))
+        processes += [(f'{one.pid}', one) for one in self.leaving]
         for _, process in processes:
             process.terminate()
         deadline = time.monotonic() + STOP_TIMEOUT
