--- a/packages/pistachiohook-standins/src/pistachiohook_standins/caller.py
+++ b/packages/pistachiohook-standins/src/pistachiohook_standins/caller.py
@@ -151,16 +151,17 @@
     caller: Caller
     work: Work
     flow: Flow | None = None
+    _former: list[Flow] = attrs.field(factory=list)
     _opening: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     async def acquire(self) -> Flow:
-        """Return the flow.
+        """Return the flow for a new request.
 
         :raises FlowLostError: when none can be opened
         """
         async with self._opening:
-            if self.flow is None or self.flow.lost:
-                await self.release()
+            if self.flow is None or self.flow.lost or self.flow.going:
+                self._retire()
                 self.flow = await open_flow(
                     read_endpoint(self.work.address),
                     self.work.authority,
@@ -169,13 +170,22 @@
             return self.flow
 
     async def release(self) -> None:
-        """Close the flow; count it when another had ended it."""
+        """Close the flows; count those that another had ended.
+
+        A flow that took no new request when it was ended is not broken; its
+        open requests have counted it if there were any.
+        """
+        self._retire()
+        for flow in self._former:
+            if flow.lost and not flow.going:
+                self.caller.tally.note_broken(flow, flow.lost)
+            await flow.finish()
+        self._former.clear()
+
+    def _retire(self) -> None:
         flow, self.flow = self.flow, None
-        if flow is None:
-            return
-        if flow.lost:
-            self.caller.tally.note_broken(flow, flow.lost)
-        await flow.finish()
+        if flow is not None:
+            self._former.append(flow)
 
 
 async def make_request(holder: FlowHolder, work: Work) -> Outcome:
