--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PIP := $(BIN)/python -m pip --quiet --disable-pip-version-check
 STAMP := $(VENV)/.installed
-SOURCES := $(wildcard packages/*/src)
+SOURCES := $(wildcard packages/*/src) tools
 PACKAGES := $(dir $(wildcard packages/*/pyproject.toml))
 empty :=
 space := $(empty) $(empty)
@@ -13,6 +13,8 @@
 .PHONY: check
 .PHONY: clean
 .PHONY: demo
+.PHONY: docs
+.PHONY: experiment
 .PHONY: explore-consensus
 .PHONY: format
 .PHONY: measure-blocking
@@ -34,11 +36,15 @@
 demo: setup
 	$(BIN)/python tools/demo.py
 
+experiment: setup
+	$(BIN)/python tools/experiment.py $(FILE)
+
 test: setup
 	$(BIN)/python tools/scenarios.py
 
 measure-flows: setup
 	$(BIN)/python tools/measure_flows.py
+
 measure-crest: setup
 	$(BIN)/python tools/measure_crest.py
 
@@ -60,6 +66,8 @@
 
 measure-control: setup
 	$(BIN)/python tools/measure_control.py
+docs: setup
+	$(BIN)/python tools/write_docs.py
 
 clean:
 	rm -rf $(VENV) build
--- a/tools/measure_flows.py
+++ b/tools/measure_flows.py
@@ -200,7 +200,7 @@
     """Restart one balancer after another, in order."""
     for number in BALANCERS:
         name = f'balancers-balancer-{number}'
-        processes.terminate(name, STOP_TIMEOUT)
+        processes.finish(name, STOP_TIMEOUT)
         settings = place.settings / 'balancers' / f'balancer-{number}.toml'
         processes.start(name, DAEMON, settings)
         wait_for_health(place, processes, [f'1.{number}'])
