--- a/packages/pistachiohook-core/src/pistachiohook_core/membership/__init__.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Targets and balancers: leases, states and weights."""
+"""Leases, publication to the nodes, and the nodes' side of it."""
