--- a/tests/core/steering_flows/flows.feature
+++ b/tests/core/steering_flows/flows.feature
@@ -27,6 +27,9 @@
       | d joins; wait; registrations are lost; d restarts   | a       |
       | d joins; e joins; e is killed; d is killed; wait    | a       |
       | d joins; wait; long                                 | a       |
+      | registrations are lost; d joins; e joins            | a       |
+      | registrations are lost; d joins; a is frozen        | nobody  |
+      | d joins; a is frozen; a returns                     | a       |
 
     Examples: Nodes on different versions
       | changes                                                     | outcome |
@@ -67,6 +70,7 @@
       | wait; a is killed                                | next   |
       | wait; a restarts                                 | a      |
       | a drains; b drains; c drains                     | nobody |
+      | the balancer lags; a drains; b drains; c drains  | nobody |
 
   Scenario Outline: An opening datagram that comes again after a change
     Given agents a, b and c, and a flow that a holds
@@ -81,6 +85,29 @@
       | a drains                                     |
       | d joins; wait; d restarts                    |
 
+  Scenario: The newer balancer's datagram comes before the older one's
+    Given agents a, b and c, and a caller whose bucket a owns
+    When these happen, each change moving its bucket: wait; the balancer lags; a lags; d joins
+    And the caller's opening datagram comes by balancer 2, then 1
+    Then "d" alone holds the flow
+
+  Scenario: A caller that comes again on a flow that has ended
+    Given agents a, b and c, and a flow that a holds
+    When these happen, each change moving its bucket: d joins; wait; a ends the flow
+    And the caller's opening datagram comes by balancer 1, then 2
+    Then "d" alone holds the flow
+
+  Scenario Outline: A datagram of a flow that nobody holds
+    Given agents a, b and c, and a flow that a holds
+    When a gets a datagram of an unknown flow from a balancer on <kind> version
+    Then the flow is "<outcome>"
+
+    Examples:
+      | kind     | outcome         |
+      | the same | closed          |
+      | an older | closed          |
+      | a newer  | owner_uncertain |
+
   Scenario Outline: Two agents that have started one flow
     Given agents a, b and c, and a flow that a holds
     When d joins without asking, and the flow is <state> there too
@@ -91,6 +118,7 @@
       | state                  | holder |
       | opened                 | a      |
       | opened and confirmed   | d      |
+      | opened, later again at a | a    |
 
   Scenario Outline: Datagrams that are not for this start of this service
     Given agents a, b and c, and a flow that a holds
