Forward datagrams by the balancer's prepared headers

The balancer's role used the slower of the two ways, which makes an envelope for each datagram. tools/demo.py after the change: 364 requests, 0 lost, 0 doubled, 0 broken flows, 0 at a wrong service.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/balancer/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/balancer/role.py
@@ -7,15 +7,15 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from pistachiohook_core.addresses import pack_address
 from pistachiohook_core.events import BALANCER_FRESH
 from pistachiohook_core.events import BALANCER_STALE
 from pistachiohook_core.membership.subscription import Condition
 from pistachiohook_core.published import Balancer
 from pistachiohook_core.published import Published
 from pistachiohook_core.steering.balancer import BalancerRouter
-from pistachiohook_core.steering.balancer import Forward
+from pistachiohook_core.steering.balancer import SealedForward
 from pistachiohook_core.steering.envelope import Keys
-from pistachiohook_core.steering.envelope import seal
 from returns.result import Failure as Failed
 
 from ..datagrams import DatagramSocket
@@ -70,12 +70,13 @@
         if self.subscriber is None or not self.subscriber.is_current():
             self.metrics.count('dropped_not_current')
             return
-        forward = self.router.route(caller, entry, payload)
-        if not isinstance(forward, Forward):
+        packed = pack_address(caller)
+        forward = self.router.forward(packed, entry, payload, self.keys)
+        if not isinstance(forward, SealedForward):
             self.metrics.count(f'dropped_{forward.value}')
             return
         self.metrics.count('forwarded')
-        self.sealed.send(seal(forward.envelope, self.keys), forward.agent)
+        self.sealed.send(forward.data, forward.agent)
 
     def receive_answer(self, data: bytes, agent: Address) -> None:
         """Send an agent's datagram on to its caller."""
