--- a/Makefile
+++ b/Makefile
@@ -3,14 +3,26 @@
 BIN := $(VENV)/bin
 PIP := $(BIN)/python -m pip --quiet --disable-pip-version-check
 STAMP := $(VENV)/.installed
-SOURCES := $(wildcard packages/*/src)
+SOURCES := $(wildcard packages/*/src) tools
 PACKAGES := $(dir $(wildcard packages/*/pyproject.toml))
 empty :=
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(abspath $(SOURCES)))
 export PYTHONHASHSEED := 0
 
-.PHONY: setup demo test check format clean explore-consensus measure-control
+.PHONY: check
+.PHONY: clean
+.PHONY: demo
+.PHONY: docs
+.PHONY: experiment
+.PHONY: explore-consensus
+.PHONY: format
+.PHONY: measure-blocking
+.PHONY: measure-control
+.PHONY: measure-crest
+.PHONY: measure-flows
+.PHONY: setup
+.PHONY: test
 
 setup: $(STAMP)
 
@@ -24,9 +36,21 @@
 demo: setup
 	$(BIN)/python tools/demo.py
 
+experiment: setup
+	$(BIN)/python tools/experiment.py $(FILE)
+
 test: setup
 	$(BIN)/python tools/scenarios.py
 
+measure-flows: setup
+	$(BIN)/python tools/measure_flows.py
+
+measure-crest: setup
+	$(BIN)/python tools/measure_crest.py
+
+measure-blocking: setup
+	$(BIN)/python tools/measure_blocking.py
+
 check: setup
 	$(BIN)/ruff format --check packages tests tools
 	$(BIN)/ruff check packages tests tools
@@ -42,6 +66,8 @@
 
 measure-control: setup
 	$(BIN)/python tools/measure_control.py
+docs: setup
+	$(BIN)/python tools/write_docs.py
 
 clean:
 	rm -rf $(VENV) build
