--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/nodes.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/nodes.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from pistachiohook_core.failures import Failure
     from pistachiohook_core.membership.holder import Holder
     from pistachiohook_core.membership.holder import HolderAction
 
@@ -93,6 +94,7 @@
 
     async def write(self) -> None:
         """Write what is learned of the nodes, until cancelled."""
+        failing = False
         while True:
             command = self.holder.make_report(time.monotonic(), time.time())
             if command is None:
@@ -101,16 +103,21 @@
             result = await self.proposer.propose(encode_command(command))
             if is_successful(result):
                 self.holder.settle(command)
+                failing = False
                 continue
-            failure = result.failure()
-            self.report(
-                CONTROL_NO_QUORUM,
-                step=failure.step,
-                peer=failure.peer,
-                reason=failure.reason,
-            )
+            if not failing:
+                self._report_failure(result.failure())
+            failing = True
             await asyncio.sleep(RETRY_INTERVAL)
 
+    def _report_failure(self, failure: Failure) -> None:
+        self.report(
+            CONTROL_NO_QUORUM,
+            step=failure.step,
+            peer=failure.peer,
+            reason=failure.reason,
+        )
+
     def _perform(self, actions: Iterable[HolderAction]) -> None:
         for action in actions:
             if isinstance(action, SendUpdate):
--- a/tests/daemon/control/control.feature
+++ b/tests/daemon/control/control.feature
@@ -14,6 +14,20 @@
     And the newest revision is in force at node "n"
     And node "n" never went back to a lower revision
 
+  Scenario: A first outcome outlives the log, and a repair
+    Given a snapshot is taken every 5 entries
+    And 3 control instances and a node "n"
+    When change "first" against revision 0 is sent to a follower
+    And a follower is stopped
+    And 30 changes against the newest revision are accepted
+    And the follower is started again
+    Then all control instances hold the same
+    When all control instances are stopped and started again
+    And change "first" against revision 0 is sent to a follower
+    Then the answer is the first answer to "first"
+    And the newest revision is in force at node "n"
+    And node "n" never went back to a lower revision
+
   Scenario: Without a quorum no read counts as fresh and no change is taken
     Given 3 control instances and a node "n"
     When all control instances but one are stopped
--- a/tests/daemon/control/steps/control_steps.py
+++ b/tests/daemon/control/steps/control_steps.py
@@ -12,7 +12,9 @@
 from pistachiohook_core.configuration.documents import CheckRequest
 from pistachiohook_core.configuration.documents import encode_document
 from pistachiohook_core.configuration.objects import RawObject
+from pistachiohook_core.configuration.state import make_published
 from pistachiohook_core.membership.subscription import Condition
+from pistachiohook_daemon.control import replicator
 from pistachiohook_daemon.control.tokens import read_tokens
 from pistachiohook_daemon.keys import LinkKeys
 from returns.pipeline import is_successful
@@ -148,6 +150,52 @@
         context.running.start_control(member.name)
 
 
+@given('a snapshot is taken every {count:d} entries')
+def patch_snapshots(context, count):
+    kept = replicator.SNAPSHOT_ENTRIES
+    replicator.SNAPSHOT_ENTRIES = count
+    context.add_cleanup(setattr, replicator, 'SNAPSHOT_ENTRIES', kept)
+
+
+@when('a follower is stopped')
+def stop_follower(context):
+    context.stopped = find_follower(context)
+    context.running.stop_control(context.stopped)
+
+
+@when('the follower is started again')
+def start_follower(context):
+    context.running.start_control(context.stopped)
+
+
+@when('{count:d} changes against the newest revision are accepted')
+def send_changes(context, count):
+    revision = find_revision(context)
+    name = find_follower(context)
+    for number in range(count):
+        change_id = f'change-{number}'
+        send_change(context, change_id, revision, name)
+        assert context.answer.code == 200, context.answer.body
+        revision = context.answers[change_id]['revision']
+
+
+@then('all control instances hold the same')
+def wait_for_same(context):
+    roles = [role for role, _ in context.running.roles.values()]
+    assert len(roles) == len(context.running.members)
+
+    def is_same():
+        published = [make_published(role.state) for role in roles]
+        records = [role.state.records for role in roles]
+        return (
+            min(one.revision for one in published) > 30
+            and all(one == published[0] for one in published)
+            and all(one == records[0] for one in records)
+        )
+
+    context.running.wait(is_same)
+
+
 @when('all control instances but one are stopped')
 def stop_all_but_one(context):
     leader = context.running.find_leader()
