--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/replication.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replication.py
@@ -69,9 +69,17 @@
 
 
 def send_entries(replica: Replica, identity: str, now: float) -> None:
-    """Send a replica what it lacks, or an empty heartbeat."""
+    """Send a replica what it lacks, or an empty heartbeat.
+
+    One that has been silent gets heartbeats only, so that nothing large
+    piles up on the way to it.
+    """
     progress = replica.progress[identity]
     snapshot = replica.log.snapshot
+    if now - progress.heard_at > replica.timing.election_max:
+        previous = max(progress.next_index - 1, snapshot.index)
+        _send_append(replica, identity, previous, ())
+        return
     if progress.next_index <= snapshot.index:
         if _may_send_snapshot(replica, progress, now):
             progress.snapshot_at = now
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
@@ -69,9 +69,12 @@
 #: Messages that wait for the replica; later ones are dropped.
 WAITING_MAX = 4096
 
-#: Entries that are applied between two snapshots.
+#: Entries that are applied before a snapshot is taken.
 SNAPSHOT_ENTRIES = 1024
 
+#: Growth of the journal before a snapshot is taken, in bytes.
+SNAPSHOT_BYTES = 16 * 1024 * 1024
+
 #: Reason of a failure: the command was not taken, and never will be; the
 #: peer is the leader's address, or empty when none is known.
 NOT_LEADER = 'not-leader'
@@ -140,6 +143,7 @@
     _replica: Replica | None = None
     _journal: Journal | None = None
     _snapshot_index: int = 0
+    _snapshot_length: int = 0
     _ticked_at: float = float('-inf')
     _known_leader: str = ''
     _requests: int = 0
@@ -229,6 +233,7 @@
         # What an earlier process failed to sync may be read all the same.
         self._check(await asyncio.to_thread(journal.replace, saved))
         self._journal = journal
+        self._snapshot_length = journal.length
         self._restore(saved.snapshot)
         self._replica = create_replica(
             saved,
@@ -370,11 +375,20 @@
             self._resolve(self._appended.pop(index).request, Failed(failure))
 
     async def _take_snapshot(self) -> None:
-        if self.applied - self._snapshot_index < SNAPSHOT_ENTRIES:
+        if not self._is_snapshot_due():
             return
+        assert self._journal is not None
         self._snapshot_index = self.applied
         state = self.machine.take_snapshot()
         await self._handle(Compact(self.applied, state))
+        self._snapshot_length = self._journal.length
+
+    def _is_snapshot_due(self) -> bool:
+        assert self._journal is not None
+        entries = self.applied - self._snapshot_index
+        growth = self._journal.length - self._snapshot_length
+        many = entries >= SNAPSHOT_ENTRIES
+        return many or (entries > 0 and growth >= SNAPSHOT_BYTES)
 
     def _explain(self, refusal: Refusal) -> Failure:
         if refusal is Refusal.NOT_LEADER:
--- a/tests/core/consensus/rules.feature
+++ b/tests/core/consensus/rules.feature
@@ -132,3 +132,13 @@
       | a vote request |
       | an append      |
       | a join         |
+
+  Scenario: A silent replica gets heartbeats only, until it answers
+    Given a replica in term 5 that voted for "a/1" and whose last entry is 10 of term 4
+    When it becomes the leader of term 6
+    And 3 seconds pass in which only "b/1" answers
+    And two commands are proposed
+    Then "b/1" is sent 2 entries
+    And "c/1" is sent 0 entries
+    When "c/1" answers that it lacks the entries after 10
+    Then "c/1" is sent 3 entries
--- a/tests/core/consensus/steps/rule_steps.py
+++ b/tests/core/consensus/steps/rule_steps.py
@@ -377,3 +377,25 @@
 def check_idle(context):
     assert context.actions == ()
     assert context.replica.hard_state == HardState(5, 'c/1')
+
+
+@when('3 seconds pass in which only "{sender}" answers')
+def pass_time(context, sender):
+    context.now += 3.0
+    match(context, sender, 11)
+    feed(context, Tick())
+
+
+@when('"{sender}" answers that it lacks the entries after {index:d}')
+def answer_lack(context, sender, index):
+    tell(context, AppendAnswer, sender, 6, False, index, 0)
+
+
+@then('"{receiver}" is sent {number:d} entries')
+def check_sent(context, receiver, number):
+    [sent] = [
+        message
+        for message in list_sent(context, Append)
+        if message.receiver == receiver
+    ]
+    assert len(sent.entries) == number, sent
--- a/tests/daemon/replicator/replicator.feature
+++ b/tests/daemon/replicator/replicator.feature
@@ -54,6 +54,13 @@
     When all replicators are stopped and started
     Then a read barrier on every instance shows them
 
+  Scenario: A snapshot takes the place of large entries
+    Given 3 replicators that all vote
+    When 80 commands of 500000 bytes are proposed to the leader in turn
+    Then every journal file is shorter than 30000000 bytes
+    When all replicators are stopped and started
+    Then a read barrier on every instance shows them
+
   Scenario: A lost folder is filled again under a new identity
     Given 3 replicators that all vote
     When 50 commands are proposed to the leader at once
