Fence a heartbeat before its lease is renewed

A heartbeat of an older incarnation at an instance that had not heard the node left a lease there, whose end was logged as an expiry of the node; no withdrawal came of it.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 .PHONY: docs
 .PHONY: experiment
 .PHONY: explore-consensus
+.PHONY: explore-membership
 .PHONY: format
 .PHONY: measure-blocking
 .PHONY: measure-control
@@ -60,6 +61,10 @@
 explore-consensus: setup
 	$(BIN)/python tools/explore_consensus.py --seeds $(or $(SEEDS),20)
 
+explore-membership: setup
+	MEMBERSHIP_EXAMPLES=$(or $(RUNS),1000) \
+	    $(BIN)/python tools/scenarios.py tests/core/membership
+
 format: setup
 	$(BIN)/ruff format packages tests tools
 	$(BIN)/ruff check --fix packages tests tools
--- a/packages/pistachiohook-core/src/pistachiohook_core/membership/holder.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/membership/holder.py
@@ -116,8 +116,10 @@
         :param now: time, in seconds
         """
         name = heartbeat.node
+        if self._is_fenced(heartbeat):
+            return (Note(CONTROL_NODE_FENCED, name),)
         renewal = self.leases.renew(name, heartbeat.incarnation, now)
-        if renewal is Renewal.FENCED or self._is_fenced(heartbeat):
+        if renewal is Renewal.FENCED:
             return (Note(CONTROL_NODE_FENCED, name),)
         self._left.pop(name, None)
         node = Node(
