Isolate a control instance over real sockets

None of its messages gets out, while those of the others come in, with the node on the leader and on a follower.

--- a/tests/daemon/control/control.feature
+++ b/tests/daemon/control/control.feature
@@ -28,6 +28,17 @@
     And the newest revision is in force at node "n"
     And node "n" never went back to a lower revision
 
+  Scenario Outline: A node leaves a control instance that is isolated
+    Given 3 control instances and a node "n" on <role>
+    When no message of that instance to the others gets out
+    Then node "n" moves to another instance and stays a member
+    And the newest revision is in force at node "n"
+
+    Examples:
+      | role       |
+      | the leader |
+      | a follower |
+
   Scenario: Without a quorum no read counts as fresh and no change is taken
     Given 3 control instances and a node "n"
     When all control instances but one are stopped
--- a/tests/daemon/control/running.py
+++ b/tests/daemon/control/running.py
@@ -50,6 +50,7 @@
     roles: dict = attrs.field(factory=dict)
     nodes: dict = attrs.field(factory=dict)
     applied: dict = attrs.field(factory=dict)
+    isolated: str = ''
     events: list = attrs.field(factory=list)
 
     def start(self, count):
@@ -117,15 +118,20 @@
 
     def find_leader(self):
         """Return the name of the leader that all running ones agree on."""
-        leaders = {role.replicator.leader for role, _ in self.roles.values()}
-        fresh = all(role.find_health().good for role, _ in self.roles.values())
+        roles = [
+            role
+            for name, (role, _) in self.roles.items()
+            if name != self.isolated
+        ]
+        leaders = {role.replicator.leader for role in roles}
+        fresh = all(role.find_health().good for role in roles)
         if len(leaders) > 1 or not fresh or not leaders <= set(self.roles):
             return ''
         return leaders.pop()
 
-    def start_node(self, name, keys=KEYS):
+    def start_node(self, name, keys=KEYS, first=None):
         """Start a node; with the right key, wait until it is a member."""
-        self.call(self._start_node(name, keys))
+        self.call(self._start_node(name, keys, first))
         if keys is KEYS:
             self.wait(lambda: self.is_member(name))
 
@@ -135,7 +141,7 @@
             name in role.state.members for role, _ in self.roles.values()
         )
 
-    async def _start_node(self, name, keys):
+    async def _start_node(self, name, keys, first):
         instances = tuple(self.links.values())
         subscriber = build_subscriber(
             name,
@@ -144,6 +150,9 @@
             self.report,
             self.applied.setdefault(name, []).append,
         )
+        if first is not None:
+            place = list(self.links).index(first)
+            subscriber.subscription._next = place
         target = Target(
             name=name,
             service='soapfloor',
--- a/tests/daemon/control/steps/control_steps.py
+++ b/tests/daemon/control/steps/control_steps.py
@@ -52,6 +52,43 @@
     context.answers = {}
 
 
+@given('{count:d} control instances and a node "{node}" on {role}')
+def start_on(context, count, node, role):
+    """Start a node that turns to the leader or a follower first."""
+    context.running = Running()
+    context.add_cleanup(context.running.stop)
+    context.running.start(count)
+    context.running.wait(context.running.find_leader)
+    context.answers = {}
+    leader = role == 'the leader'
+    found = context.running.find_leader() if leader else None
+    context.isolated = found or find_follower(context)
+    context.running.start_node(node, first=context.isolated)
+
+
+@when('no message of that instance to the others gets out')
+def isolate(context):
+    role, _ = context.running.roles[context.isolated]
+    role.replicator.send = lambda *_: False
+
+
+@then('node "{name}" moves to another instance and stays a member')
+def wait_for_move(context, name):
+    others = [
+        role
+        for other, (role, _) in context.running.roles.items()
+        if other != context.isolated
+    ]
+
+    def has_moved():
+        members = [role.state.members[name] for role in others]
+        return all(one.holder != context.isolated for one in members)
+
+    context.running.wait(has_moved)
+    # The test's own requests are not for the isolated instance.
+    context.running.isolated = context.isolated
+
+
 def send(context, name, method, path, token="ana's", body=None):
     api = next(m.api for m in context.running.members if m.name == name)
     headers = {'Authorization': TOKENS[token]} if token in TOKENS else {}
@@ -72,7 +109,11 @@
 def find_follower(context):
     context.running.wait(context.running.find_leader)
     leader = context.running.find_leader()
-    return next(name for name in context.running.roles if name != leader)
+    return next(
+        name
+        for name in context.running.roles
+        if name not in (leader, context.running.isolated)
+    )
 
 
 def find_revision(context):
