--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 .PHONY: measure-control
 .PHONY: measure-crest
 .PHONY: measure-flows
+.PHONY: measure-steering
 .PHONY: setup
 .PHONY: test
 
@@ -69,6 +70,9 @@
 	$(BIN)/ruff format packages tests tools
 	$(BIN)/ruff check --fix packages tests tools
 
+measure-steering: setup
+	$(BIN)/python tools/measure_steering.py
+
 measure-control: setup
 	$(BIN)/python tools/measure_control.py
 docs: setup
