--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/limits.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/limits.py
@@ -19,7 +19,10 @@
 REPORTED_SHARE_MIN = 0.5
 
 #: Share of a target's slots that are kept for short work.
-SHORT_SHARE = 0.25
+SHORT_SHARE = 0.5
+
+#: Share that is kept from long work while no short work waits.
+SHORT_SHARE_MIN = 0.25
 
 
 @attrs.define
@@ -57,10 +60,15 @@
         allowed = min(self._ceiling, self._reported, self.slots * warm)
         return max(1, math.floor(allowed + 0.001))
 
-    def compute_for_long(self, now: float) -> int:
-        """Return how many of these may be long, at least 1."""
+    def compute_for_long(self, now: float, alone: bool = False) -> int:
+        """Return how many of these may be long, at least 1.
+
+        :param now: current time
+        :param alone: whether no short work waits
+        """
         limit = self.compute(now)
-        return max(1, limit - math.ceil(limit * SHORT_SHARE))
+        share = SHORT_SHARE_MIN if alone else SHORT_SHARE
+        return max(1, limit - math.ceil(limit * share))
 
     def record_answer(self) -> None:
         """Count an answer; enough of them raise the limit by one."""
--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/peers.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/peers.py
@@ -40,6 +40,17 @@
             for peer, slots in self._slots.items()
         )
 
+    def count_free_for_long(self, now: float) -> int:
+        """Return the most slots that a peer has free for long requests."""
+        return max(
+            (
+                slots.free_for_long
+                for peer, slots in self._slots.items()
+                if self._is_recent(peer, now)
+            ),
+            default=0,
+        )
+
     def take(self, request_id: int, long: bool, now: float) -> str | None:
         """Choose a peer and count one of its slots as taken.
 
@@ -56,7 +67,9 @@
         ]
         if not candidates:
             return None
-        chosen = max(candidates, key=lambda slots: _rank(slots, request_id))
+        chosen = max(
+            candidates, key=lambda slots: _rank(slots, request_id, long)
+        )
         for_long = chosen.free_for_long - 1 if long else chosen.free_for_long
         free = chosen.free - 1
         self._slots[chosen.peer] = attrs.evolve(
@@ -68,5 +81,6 @@
         return now - self._heard_at[peer] <= PEER_SLOTS_LIFETIME
 
 
-def _rank(slots: PeerSlots, request_id: int) -> tuple[int, int]:
-    return slots.free, xxh3_64_intdigest(f'{request_id} {slots.peer}'.encode())
+def _rank(slots: PeerSlots, request_id: int, long: bool) -> tuple[int, int]:
+    free = slots.free_for_long if long else slots.free
+    return free, xxh3_64_intdigest(f'{request_id} {slots.peer}'.encode())
--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/scheduler.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/scheduler.py
@@ -54,7 +54,14 @@
 SLOW_START = 5.0
 
 #: Expected wait that is worth a hand-over, in seconds.
-HAND_OVER_WAIT_MIN = 0.005
+HAND_OVER_WAIT_MIN = 0.03
+
+#: Expected time to its end after which a run's slot counts as free for the
+#: peers' short requests, in seconds.
+FREE_SOON = 0.05
+
+#: Longest request body that is handed over, in bytes.
+HAND_OVER_SIZE_MAX = 65_536
 
 #: Time for which a draining agent still starts what waits, in seconds.
 DRAIN_START_MAX = 2.0
@@ -164,7 +171,17 @@
             return FreeSlots(0, 0)
         free = max(0, self._limit.compute(now) - len(self._running))
         room = self._limit.compute_for_long(now) - self._count_long(now)
-        return FreeSlots(free, max(0, min(free, room)))
+        ending = sum(
+            self._estimate_left(running, now) <= FREE_SOON
+            for running in self._running.values()
+        )
+        waiting = sum(
+            self._is_short(waiting.request, now)
+            for waiting in self._waiting.values()
+        )
+        return FreeSlots(
+            max(0, free + ending - waiting), max(0, min(free, room))
+        )
 
     @property
     def idle(self) -> bool:
@@ -227,9 +244,10 @@
             return False
         return self._has_room(now) or self._is_short(request, now)
 
-    def _has_room(self, now: float) -> bool:
+    def _has_room(self, now: float, alone: bool = False) -> bool:
         """Return whether one more long request may run."""
-        return self._count_long(now) < self._limit.compute_for_long(now)
+        limit = self._limit.compute_for_long(now, alone)
+        return self._count_long(now) < limit
 
     def _estimate_left(self, running: _Running, now: float) -> float:
         expected = self._expect(running.waiting.request, now).mean
@@ -245,6 +263,10 @@
     def _admit(self, waiting: Waiting, now: float) -> bool:
         if not self._accepts():
             return self._move(waiting, now)
+        if self._is_better_elsewhere(waiting, now) and self._move(
+            waiting, now
+        ):
+            return True
         wait = self._estimate_wait(waiting, now)
         expected = self._expect(waiting.request, now).typical
         if now + wait + expected > waiting.request.deadline and wait > 0:
@@ -257,6 +279,16 @@
         self._enqueue(waiting, now)
         return True
 
+    def _is_better_elsewhere(self, waiting: Waiting, now: float) -> bool:
+        """Return whether a peer has more room for a long request."""
+        request = waiting.request
+        return (
+            waiting.movable
+            and self._is_long(request, now)
+            and self._peers.count_free_for_long(now)
+            > self.count_free(now).free_for_long
+        )
+
     def _enqueue(self, waiting: Waiting, now: float) -> None:
         request = waiting.request
         used = self._usage.read(request.flow, now)
@@ -286,7 +318,7 @@
 
     def _move(self, waiting: Waiting, now: float) -> bool:
         request = waiting.request
-        if not waiting.movable or now >= request.deadline:
+        if not waiting.movable or request.size > HAND_OVER_SIZE_MAX:
             return False
         peer = self._peers.take(request.id, self._is_long(request, now), now)
         if peer is None:
@@ -458,12 +490,18 @@
 
     def _choose(self, now: float) -> Waiting | None:
         room = self._has_room(now)
+        chosen = self._find_first(
+            now, lambda w: room or self._is_short(w.request, now)
+        )
+        if chosen is None and self._has_room(now, alone=True):
+            chosen = self._find_first(now, lambda _: True)
+        return chosen
+
+    def _find_first(
+        self, now: float, allows: Callable[[Waiting], bool]
+    ) -> Waiting | None:
         return min(
-            (
-                waiting
-                for waiting in self._waiting.values()
-                if room or self._is_short(waiting.request, now)
-            ),
+            filter(allows, self._waiting.values()),
             key=lambda waiting: self._rank(waiting, now),
             default=None,
         )
