Test each mechanism of the ledger against the fault it is for

Three scenarios, with what each shows when its mechanism is switched off on a scratch copy (trials): without the recovery of a restarted replica, without the majorities of earlier replica sets, and without the votes of earlier starts being discarded, the order "was granted twice" in its own scenario each time. The state machine alone had not found these three.

--- a/tests/core/requests_ledger/ledger.feature
+++ b/tests/core/requests_ledger/ledger.feature
@@ -148,3 +148,26 @@
     When 3 s pass
     And the order is sent to a
     Then the answer to a is granted
+
+  Scenario: Replicas that have forgotten their votes do not vote again
+    When the order is granted to a
+    And two replicas of the order restart while the third is cut off
+    And the order is sent again to an agent that kept running
+    And 31 s pass
+    Then the answer is unknown outcome
+    And the order was granted 1 times
+
+  Scenario: A new set of replicas does not grant without the old one
+    When the order is granted to a
+    And two replicas of the order leave while the third is cut off
+    And 3 s pass
+    And the order is sent again to an agent that kept running
+    And 31 s pass
+    Then the answer is unknown outcome
+    And the order was granted 1 times
+
+  Scenario: A vote of a replica that has restarted since does not count
+    When one agent holds the vote of a replica that restarts
+    And another agent is granted the order by that replica and a second
+    And the third replica votes for the first agent
+    Then the order was granted 1 times
--- a/tests/core/requests_ledger/steps/ledger_steps.py
+++ b/tests/core/requests_ledger/steps/ledger_steps.py
@@ -11,6 +11,7 @@
 from ledger_bench import make_key
 from ledger_bench import START
 from pistachiohook_core.requests.keys import place_replicas
+from pistachiohook_core.requests.ledger_messages import Tick
 
 
 @given('{count:d} agents that share a ledger')
@@ -302,3 +303,70 @@
 @then('the order was granted {count:d} times')
 def check_grants(context, count):
     assert context.bench.grants[context.key] == count
+
+
+@when('two replicas of the order restart while the third is cut off')
+def restart_two(context):
+    lose_two(context, context.bench.start)
+
+
+@when('two replicas of the order leave while the third is cut off')
+def remove_two(context):
+    lose_two(context, context.bench.leave)
+
+
+def lose_two(context, lose):
+    bench = context.bench
+    replicas = place_replicas(context.key, bench.read_members())
+    bench.cut = {replicas[2]}
+    for name in replicas[:2]:
+        lose(name)
+    context.others = [n for n in bench.names if n not in (*replicas, 'a')]
+    bench.advance(1.0)
+
+
+@when('the order is sent again to an agent that kept running')
+def resend_to_other(context):
+    context.last = context.bench.request(context.others[0], context.key)
+    context.bench.deliver_all()
+
+
+def deliver_between(bench, first, second):
+    """Deliver what is under way between two agents, both ways."""
+    for sender, receiver in ((first, second), (second, first)):
+        for post in tuple(bench.network):
+            if post[:2] == (sender, receiver):
+                bench.deliver(bench.network.index(post))
+
+
+@when('one agent holds the vote of a replica that restarts')
+def hold_old_vote(context):
+    bench = context.bench
+    replicas = place_replicas(context.key, bench.read_members())
+    context.replicas = replicas
+    context.others = [n for n in bench.names if n not in replicas]
+    first = context.others[0]
+    bench.request(first, context.key)
+    deliver_between(bench, first, replicas[0])
+    bench.start(replicas[0])
+
+
+@when('another agent is granted the order by that replica and a second')
+def grant_to_another(context):
+    bench = context.bench
+    restarted, second, third = context.replicas
+    name = context.others[1]
+    bench.request(name, context.key)
+    for _ in range(3):
+        deliver_between(bench, name, second)
+        deliver_between(bench, name, restarted)
+        deliver_between(bench, restarted, second)
+        deliver_between(bench, restarted, third)
+        bench.now += 0.2
+        bench.feed(name, Tick())
+    assert bench.granted_to[context.key] == name
+
+
+@when('the third replica votes for the first agent')
+def vote_late(context):
+    deliver_between(context.bench, context.others[0], context.replicas[2])
