--- a/tests/core/requests/scheduler.feature
+++ b/tests/core/requests/scheduler.feature
@@ -199,3 +199,22 @@
     And the peer b has 1 free slots
     And the drain starts
     Then a is handed over
+
+  Scenario: The shorter expected run goes first
+    Given a target with 1 slots
+    And the route POST /slow has run for 0.9 s
+    And the route POST /short has run for 0.1 s
+    When 1 requests arrive for POST /short
+    And 1 requests arrive for POST /slow
+    And 1 requests arrive for POST /short
+    And the running request ends
+    Then 0 requests are started for POST /slow
+    And 2 requests are started for POST /short
+
+  Scenario: A request whose time ran out while it waited has not run
+    Given a target with 1 slots
+    When the non-idempotent request x arrives
+    And the non-idempotent request a arrives with 1.0 s left
+    And 1.1 s pass
+    Then a is refused not-run
+    And the target has run a at most 0 times
