--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -50,6 +50,12 @@
 ROLE_STARTED = Event(1003, Level.INFO, 'The role is started.')
 SHUTDOWN_STARTED = Event(1004, Level.INFO, 'A graceful shutdown begins.')
 ROLE_STOPPED = Event(1005, Level.INFO, 'The role has stopped.')
+START_REFUSED = Event(
+    1006,
+    Level.ERROR,
+    'The role cannot be started.',
+    'Look at the error, mend the settings or the files that they name.',
+)
 BALANCER_STALE = Event(
     2001,
     Level.WARNING,
@@ -59,6 +65,64 @@
 BALANCER_FRESH = Event(
     2002, Level.INFO, 'The published state is fresh; the balancer serves.'
 )
+REPLICA_STARTED = Event(4001, Level.INFO, 'The replica is started.')
+JOURNAL_FOUNDED = Event(
+    4002,
+    Level.WARNING,
+    'The data folder was empty; the instance has a new identity.',
+    'Expected at the first start. Else the disk was lost: see the page on '
+    'disk loss.',
+)
+JOURNAL_FAILED = Event(
+    4003,
+    Level.ERROR,
+    'The journal could not be read or written; the replica stops.',
+    'Free or replace the disk, then start the process again; a damaged '
+    'journal is moved away first.',
+)
+LEADER_CHANGED = Event(4004, Level.INFO, 'The known leader has changed.')
+REPLICA_RETIRED = Event(
+    4005,
+    Level.ERROR,
+    'The identity of this data folder was replaced and is not let in again.',
+    'Move the data folder away and start the process again.',
+)
+CONTROL_CHANGE_ACCEPTED = Event(
+    4051, Level.INFO, 'A change of the configuration was accepted.'
+)
+CONTROL_CHANGE_REFUSED = Event(
+    4052, Level.INFO, 'A change of the configuration was refused.'
+)
+CONTROL_LEASE_EXPIRED = Event(
+    4053,
+    Level.WARNING,
+    'The lease of a node has run out; it is withdrawn.',
+    'Look at the instance that is named as peer.',
+)
+CONTROL_NODE_FENCED = Event(
+    4054,
+    Level.WARNING,
+    'A message of an older incarnation of a node was dropped.',
+    'Look for two processes with one node name.',
+)
+CONTROL_NO_QUORUM = Event(
+    4055,
+    Level.WARNING,
+    'A membership change could not be written; it is tried again.',
+    'Check that a majority of the control instances is up.',
+)
+CONTROL_TOKEN_REFUSED = Event(
+    4056,
+    Level.WARNING,
+    'A request with a wrong token, or none, was refused.',
+    'Look for who sends it; compare the token files.',
+)
+CONTROL_STALE = Event(
+    4057,
+    Level.WARNING,
+    'A control instance answers without a quorum; the node turns to the next.',
+    'Check the links between the control instances.',
+)
 CONTROL_UNREACHABLE = Event(
     5001,
     Level.WARNING,
