Name the refusals and the lost flows in the load report

What was lost got no answer within its deadline of 20 s; the reports up to here don't tell more, so they now name what was refused. Suspected, not proved: the ledger grants nothing for some 14 s after a gap of more than 2 s in the confirmed membership.

--- a/packages/pistachiohook-standins/src/pistachiohook_standins/caller.py
+++ b/packages/pistachiohook-standins/src/pistachiohook_standins/caller.py
@@ -263,7 +263,7 @@
             flow.send_body(exchange, b'', True)
             headers = await flow.read_headers(exchange)
             if headers[':status'] != OK:
-                return await _read_refusal(flow, exchange)
+                return await _read_refusal(caller, flow, exchange)
             body = await _read_whole(flow, exchange)
     except AnswerCutError as error:
         caller.tally.note_broken(flow, str(error))
@@ -319,7 +319,7 @@
     try:
         headers = await flow.read_headers(exchange)
         if headers[':status'] != OK:
-            return await _read_refusal(flow, exchange)
+            return await _read_refusal(caller, flow, exchange)
         receipt = json.loads(await _read_whole(flow, exchange))
     except AnswerCutError as error:
         caller.tally.note_broken(flow, str(error))
@@ -332,12 +332,16 @@
     return Outcome.DONE
 
 
-async def _read_refusal(flow: Flow, exchange: Exchange) -> Outcome:
+async def _read_refusal(
+    caller: Caller, flow: Flow, exchange: Exchange
+) -> Outcome:
     try:
         problem = json.loads(await _read_whole(flow, exchange))
-        not_run = problem['type'].endswith(Outcome.NOT_RUN.value)
+        kind = str(problem['type']).rpartition(':')[2]
     except (ValueError, KeyError, TypeError):
-        not_run = False
+        kind = 'no problem document'
+    caller.tally.refusals[kind] += 1
+    not_run = kind == Outcome.NOT_RUN.value
     return Outcome.NOT_RUN if not_run else Outcome.UNKNOWN
 
 
--- a/packages/pistachiohook-standins/src/pistachiohook_standins/load.py
+++ b/packages/pistachiohook-standins/src/pistachiohook_standins/load.py
@@ -167,6 +167,8 @@
 
     :param seed: seed of the run
     :param summary: counts at callers and targets
+    :param refusals: refused attempts by the end of the problem's type
+    :param lost_flows: reasons of flows that ended by another's act
     :param groups: how each group of requests went
     :param runs: keyed runs by target
     :param imbalance: most runs of a target over the mean, by service
@@ -174,6 +176,8 @@
 
     seed: int
     summary: Summary
+    refusals: dict[str, int]
+    lost_flows: list[str]
     groups: tuple[GroupReport, ...]
     runs: dict[str, int]
     imbalance: dict[str, float]
@@ -242,6 +246,8 @@
     return LoadReport(
         seed=settings.seed,
         summary=tally.summarize(runs),
+        refusals=dict(tally.refusals),
+        lost_flows=tally.lost_flows,
         groups=_report_groups(results),
         runs={one.target: sum(one.runs.values()) for one in runs},
         imbalance=measure_imbalance(runs),
--- a/packages/pistachiohook-standins/src/pistachiohook_standins/tally.py
+++ b/packages/pistachiohook-standins/src/pistachiohook_standins/tally.py
@@ -61,6 +61,7 @@
     :param services: service asked for, by idempotency key
     :param outcomes: how each keyed request ended
     :param ended: requests by how they ended
+    :param refusals: refused attempts by the end of the problem's type
     :param lost_flows: reasons of flows that ended by another's act
     :param metrics: durations by kind of work
     """
@@ -71,6 +72,7 @@
     services: dict[str, str] = attrs.field(factory=dict)
     outcomes: dict[str, Outcome] = attrs.field(factory=dict)
     ended: Counter[Outcome] = attrs.field(factory=Counter)
+    refusals: Counter[str] = attrs.field(factory=Counter)
     lost_flows: list[str] = attrs.field(factory=list)
     metrics: Metrics = attrs.field(factory=Metrics)
     _broken: set[int] = attrs.field(factory=set)
