--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 .PHONY: measure-control
 .PHONY: measure-crest
 .PHONY: measure-flows
+.PHONY: measure-steering
 .PHONY: setup
 .PHONY: test
 
@@ -64,6 +65,9 @@
 	$(BIN)/ruff format packages tests tools
 	$(BIN)/ruff check --fix packages tests tools
 
+measure-steering: setup
+	$(BIN)/python tools/measure_steering.py
+
 measure-control: setup
 	$(BIN)/python tools/measure_control.py
 docs: setup
