--- a/packages/pistachiohook-cli/src/pistachiohook_cli/burn.py
+++ b/packages/pistachiohook-cli/src/pistachiohook_cli/burn.py
@@ -103,7 +103,7 @@
     if isinstance(services, Status):
         return services
     now = time.time()
-    kept = _keep_samples(samples, _take_samples(agents, now), now)
+    kept = keep_samples(samples, _take_samples(agents, now), now)
     report = Report(now, measure_burn(kept, services, agents, now))
     if html is not None:
         html.write_text(render_page(report.services, now), 'utf-8')
@@ -161,7 +161,7 @@
         client.close()
 
 
-def _keep_samples(path: Path, new: list[Sample], now: float) -> list[Sample]:
+def keep_samples(path: Path, new: list[Sample], now: float) -> list[Sample]:
     """Add samples to the file and drop those out of every window."""
     try:
         lines = path.read_bytes().splitlines() if path.exists() else []
