--- a/tests/core/steering_flows/flows.feature
+++ b/tests/core/steering_flows/flows.feature
@@ -108,6 +108,12 @@
       | an older | closed          |
       | a newer  | owner_uncertain |
 
+  Scenario: A peer that is lost while it is asked
+    Given agents a, b and c, and a flow that a holds
+    When these happen, each change moving its bucket: registrations are lost; d joins; a is frozen
+    And a datagram of the flow comes, and then a is killed
+    Then the flow is closed before any time passes
+
   Scenario Outline: Two agents that have started one flow
     Given agents a, b and c, and a flow that a holds
     When d joins without asking, and the flow is <state> there too
--- a/tests/core/steering_flows/steps/flow_steps.py
+++ b/tests/core/steering_flows/steps/flow_steps.py
@@ -275,6 +275,20 @@
     mesh.feed(agent, EnvelopeReceived(wrong))
 
 
+@when('a datagram of the flow comes, and then a is killed')
+def kill_while_asked(context):
+    mesh = context.mesh
+    mesh.send(context.flow, DATAGRAM)
+    mesh.carry_all()
+    assert not mesh.closed
+    kill(mesh, 'a')
+
+
+@then('the flow is closed before any time passes')
+def check_closed(context):
+    assert context.mesh.closed == [context.flow], context.mesh.drops
+
+
 VERSIONS = {'the same': 0, 'an older': -1, 'a newer': 1}
 
 
