Let a learner ask again when its entry into the membership was lost

A replica now asks as long as no leader sends it anything. With that, an old folder of a retired identity is told so too.

A cancelled replicator left its thread at work on the disk while the folder was closed; it now waits for it.

--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/changes.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/changes.py
@@ -26,9 +26,12 @@
 
 
 def seek_membership(replica: Replica, now: float) -> None:
-    """Ask to be let in, or found a cluster where nobody has one."""
-    member = replica.identity in replica.membership.members
-    if member or now < replica.join_at:
+    """Ask to be let in, or found a cluster where nobody has one.
+
+    A membership in the own log may never have been committed, so that a
+    replica asks too when no leader sends it anything.
+    """
+    if _is_let_in(replica, now) or now < replica.join_at:
         return
     replica.join_at = now + replica.timing.heartbeat
     if not replica.cluster and _may_found(replica):
@@ -85,6 +88,12 @@
         broadcast(replica, now)
 
 
+def _is_let_in(replica: Replica, now: float) -> bool:
+    member = replica.identity in replica.membership.members
+    heard = now - replica.heard_at < replica.timing.election_max
+    return member and (heard or replica.role is Role.LEADER)
+
+
 def _other_instances(replica: Replica) -> tuple[str, ...]:
     own = name_instance(replica.identity)
     return tuple(name for name in replica.instances if name != own)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
@@ -226,12 +226,12 @@
 
     async def _start(self) -> None:
         journal = Journal(self.files)
-        saved = self._check(await asyncio.to_thread(load_journal, journal))
+        saved = self._check(await _run_to_end(load_journal, journal))
         if saved is None:
             saved = Saved(make_identity(self.name, self.birth))
             self.report(JOURNAL_FOUNDED, identity=saved.identity)
         # What an earlier process failed to sync may be read all the same.
-        self._check(await asyncio.to_thread(journal.replace, saved))
+        self._check(await _run_to_end(journal.replace, saved))
         self._journal = journal
         self._snapshot_length = journal.length
         self._restore(saved.snapshot)
@@ -319,8 +319,7 @@
         assert self._replica is not None
         assert self._journal is not None
         identity = self._replica.identity
-        saving = asyncio.to_thread(save, self._journal, identity, action)
-        self._check(await saving)
+        self._check(await _run_to_end(save, self._journal, identity, action))
 
     def _check(self, result: Result[Any, Failure]) -> Any:
         if isinstance(result, Success):
@@ -402,6 +401,16 @@
             answer.set_result(result)
 
 
+async def _run_to_end(function: Callable[..., Any], *arguments: Any) -> Any:
+    """Run in a thread; a cancellation waits until the disk is let go."""
+    running = asyncio.ensure_future(asyncio.to_thread(function, *arguments))
+    try:
+        return await asyncio.shield(running)
+    finally:
+        if not running.done():
+            await asyncio.wait({running})
+
+
 def _join_proposals(events: list[Event]) -> list[Event]:
     """Let proposals that wait share one sync of the journal."""
     proposals = [event for event in events if isinstance(event, Propose)]
--- a/tests/core/consensus/repair.feature
+++ b/tests/core/consensus/repair.feature
@@ -54,6 +54,13 @@
     Given 3 control instances that all vote
     When a follower is replaced and its old disk comes back
     Then the old identity neither votes nor leads
+    And it is told that it is retired
+
+  Scenario: A learner whose entry into the membership was lost asks again
+    Given 5 control instances that all vote
+    When a follower loses its disk and only it hears that it is let in
+    And the leader is killed for good
+    Then the instance that lost its disk votes at last
 
   Scenario: Nothing is accepted before a majority of the instances has joined
     Given 3 control instances, of which only the first can be reached
--- a/tests/core/consensus/steps/repair_steps.py
+++ b/tests/core/consensus/steps/repair_steps.py
@@ -257,3 +257,42 @@
 def check_refused(context):
     number = context.cluster.propose('a')
     assert isinstance(context.cluster.refused[number], Refusal)
+
+
+@then('it is told that it is retired')
+def check_told(context):
+    assert context.old in context.cluster.retired
+
+
+@when('a follower loses its disk and only it hears that it is let in')
+def let_in_vainly(context):
+    cluster = context.cluster
+    leader = cluster.find_leader()
+    context.lost = followers(cluster)[0]
+    replace(cluster, context.lost)
+    cluster.cut = {
+        (leader, name) for name in cluster.names if name != context.lost
+    }
+    cluster.run(0.6)
+    replica = cluster.instances[context.lost].process.replica
+    assert replica.membership.learners == (replica.identity,)
+    assert replica.identity not in find_members(cluster)
+    context.leader = leader
+
+
+@when('the leader is killed for good')
+def kill_for_good(context):
+    context.cluster.kill(context.leader)
+    context.cluster.heal()
+
+
+@then('the instance that lost its disk votes at last')
+def check_votes_at_last(context):
+    cluster = context.cluster
+    cluster.run(10.0)
+    assert cluster.instances[context.lost].identity in cluster.voters()
+
+
+def find_members(cluster):
+    last = max(cluster.committed)
+    return find_membership(cluster, last).members
