Carry the memory of members over a silence of control

Orders stopped for about 15 s when the only control instance was away for 2 s: the confirmed membership had a gap longer than its lease, and no key issued within 14 s after a gap can be granted. Ruled out: the links, since all nodes had the newest revision again at once. A confirmation now carries the published revision; an unchanged one proves that no other membership came between. The scenario of a silence of 5 s without a change waited before and is granted now; with a member that leaves meanwhile it still waits.

A grant that comes when its request is gone is stored as not run, so that a repeat is answered at once.

--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/history.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/history.py
@@ -47,14 +47,13 @@
         last = self._sightings[-1] if self._sightings else None
         if last and at < last.last:
             return
-        if (
-            last
-            and last.members == read.members
-            and at - last.last <= MEMBERSHIP_LEASE
-        ):
-            self._sightings[-1] = attrs.evolve(last, last=at)
+        if last and _continues(last, read):
+            self._sightings[-1] = attrs.evolve(
+                last, last=at, revision=read.revision
+            )
         else:
-            self._sightings.append(Sighting(read.members, at, at))
+            sighting = Sighting(read.members, at, at, read.revision)
+            self._sightings.append(sighting)
         self._forget(at)
 
     def merge(self, others: tuple[Sighting, ...]) -> None:
@@ -74,8 +73,9 @@
             if index is None:
                 merged.append(sighting)
             else:
-                last = max(merged[index].last, sighting.last)
-                merged[index] = attrs.evolve(merged[index], last=last)
+                later = max(merged[index], sighting, key=lambda s: s.last)
+                first = merged[index].first
+                merged[index] = attrs.evolve(later, first=first)
         self._sightings = sorted(merged, key=lambda s: s.last)
 
     def is_fresh(self, now: float) -> bool:
@@ -131,3 +131,15 @@
     def _forget(self, now: float) -> None:
         oldest = now - self.lifetime - HISTORY_MARGIN
         self._sightings = [s for s in self._sightings if s.last >= oldest]
+
+
+def _continues(last: Sighting, read: MembershipRead) -> bool:
+    """Return whether a membership has lasted since it was last confirmed.
+
+    Over a longer silence of control only an unchanged revision proves that
+    no other membership came between.
+    """
+    if last.members != read.members:
+        return False
+    unchanged = read.revision > 0 and read.revision == last.revision
+    return unchanged or read.confirmed_at - last.last <= MEMBERSHIP_LEASE
--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/ledger_messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/ledger_messages.py
@@ -58,11 +58,13 @@
     :param members: agents of the service, sorted
     :param first: when it was first confirmed, in seconds since the epoch
     :param last: when it was last confirmed, in seconds since the epoch
+    :param revision: published revision at the last confirmation
     """
 
     members: tuple[Member, ...]
     first: float
     last: float
+    revision: int = 0
 
 
 @attrs.frozen
@@ -203,10 +205,12 @@
 
     :param members: agents of the service, sorted
     :param confirmed_at: for which moment, in seconds since the epoch
+    :param revision: published revision that holds it; 0 when not known
     """
 
     members: tuple[Member, ...]
     confirmed_at: float
+    revision: int = 0
 
 
 @attrs.frozen
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/ledger.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/ledger.py
@@ -44,16 +44,20 @@
     :param client: asks for grants
     :param replica: votes and stores
     :param peers: links to the other agents
+    :param unused_answer: stored for a grant that came when nobody waited
     :param measure_freshness: age of what is known of the members, in seconds
     """
 
     client: LedgerClient
     replica: LedgerReplica
     peers: PeerLinks
+    unused_answer: bytes
     measure_freshness: Callable[[], float] | None = None
     _members: tuple[Member, ...] = ()
+    _revision: int = 0
     _links: dict[str, Address] = attrs.field(factory=dict)
     _verdicts: dict[int, asyncio.Future[Verdict]] = attrs.field(factory=dict)
+    _keys: dict[int, str] = attrs.field(factory=dict)
 
     async def run(self) -> None:
         """Let both parts see the time until cancelled."""
@@ -62,8 +66,15 @@
             self._confirm_members()
             self._handle(Tick())
 
-    def apply_targets(self, targets: tuple[Target, ...]) -> None:
-        """Take over the published targets of the service."""
+    def apply_targets(
+        self, targets: tuple[Target, ...], revision: int
+    ) -> None:
+        """Take over the published targets of the service.
+
+        :param targets: every target of the service
+        :param revision: published revision that holds them
+        """
+        self._revision = revision
         self._links = {target.name: target.link for target in targets}
         members = (
             Member(one.name, one.availability_zone, one.incarnation)
@@ -107,6 +118,7 @@
         loop = asyncio.get_running_loop()
         verdict: asyncio.Future[Verdict] = loop.create_future()
         self._verdicts[number] = verdict
+        self._keys[number] = question.key
         try:
             self._perform(self.client.handle(question, time.time()))
             return await verdict
@@ -117,7 +129,8 @@
         if self.measure_freshness is None or not self._members:
             return
         confirmed_at = time.time() - self.measure_freshness()
-        self._handle(MembershipRead(self._members, confirmed_at))
+        read = MembershipRead(self._members, confirmed_at, self._revision)
+        self._handle(read)
 
     def _handle(self, event: MembershipRead | MessageReceived | Tick) -> None:
         now = time.time()
@@ -142,5 +155,8 @@
 
     def _give_verdict(self, verdict: Any) -> None:
         waiting = self._verdicts.get(verdict.id)
+        key = self._keys.pop(verdict.id, None)
         if waiting is not None and not waiting.done():
             waiting.set_result(verdict)
+        elif isinstance(verdict, Grant) and key is not None:
+            self.end_run(key, self.unused_answer)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
@@ -35,6 +35,9 @@
 from ..datagrams import DatagramSocket
 from ..endpoints import Health
 from ..subscriber import build_subscriber
+from .answers import describe_problem
+from .answers import encode_answer
+from .answers import NOT_RUN
 from .engine import configure_quic
 from .engine import Engine
 from .engine import Flow
@@ -205,7 +208,7 @@
             one for one in published.targets if one.service == service
         )
         self._zones = {one.name: one.availability_zone for one in peers}
-        self.ledger.apply_targets(peers)
+        self.ledger.apply_targets(peers, published.revision)
         self.requests.apply_peers(peers, self.target.name)
         if self.target.name in self._zones and self.load is not None:
             self.load.apply_peers(peers)
@@ -362,7 +365,8 @@
     replica = LedgerReplica(
         target.name, target.incarnation, time.time(), lifetime
     )
-    return LedgerService(client, replica, peers)
+    unused_answer = encode_answer(describe_problem(NOT_RUN))
+    return LedgerService(client, replica, peers, unused_answer)
 
 
 def derive_reset_key(link_keys: LinkKeys) -> bytes:
--- a/tests/core/requests_ledger/ledger.feature
+++ b/tests/core/requests_ledger/ledger.feature
@@ -179,3 +179,15 @@
     When the order is sent to a
     And 20 s pass
     Then a has asked at most 16 times
+
+  Scenario Outline: Control is away for a time
+    Given control reaches no agent for 5 s, and <meanwhile>
+    When the order is sent to a
+    And 3 s pass
+    Then the answer to a is <answer>
+
+    Examples:
+      | meanwhile           | answer  |
+      | nothing changes     | granted |
+      | c leaves            | waiting |
+      | c leaves and starts | waiting |
--- a/tests/core/requests_ledger/ledger_bench.py
+++ b/tests/core/requests_ledger/ledger_bench.py
@@ -42,6 +42,7 @@
     names: tuple
     formed_at: float | None = None
     now: float = START
+    revision: int = 0
     agents: dict = attrs.field(factory=dict)
     incarnations: Counter = attrs.field(factory=Counter)
     members: set = attrs.field(factory=set)
@@ -68,6 +69,7 @@
             ),
         )
         self.members.add(name)
+        self.revision += 1
 
     def stop(self, name):
         """Kill an agent; it is a member until control finds out."""
@@ -77,6 +79,7 @@
         """Kill an agent and take it out of the membership."""
         self.stop(name)
         self.members.discard(name)
+        self.revision += 1
 
     def read_members(self):
         return tuple(
@@ -92,7 +95,7 @@
 
     def confirm(self, name):
         """Let control confirm the membership to one agent."""
-        read = MembershipRead(self.read_members(), self.now)
+        read = MembershipRead(self.read_members(), self.now, self.revision)
         self.feed(name, read)
 
     def feed(self, name, event):
--- a/tests/core/requests_ledger/steps/ledger_steps.py
+++ b/tests/core/requests_ledger/steps/ledger_steps.py
@@ -381,3 +381,17 @@
 def compare_asked(context, count):
     asked = max(context.bench.dropped.values())
     assert 2 <= asked <= count, asked
+
+
+@given('control reaches no agent for {seconds:d} s, and {meanwhile}')
+def silence_control(context, seconds, meanwhile):
+    bench = context.bench
+    bench.unconfirmed = set(bench.names)
+    bench.advance(float(seconds))
+    if meanwhile != 'nothing changes':
+        bench.leave('c')
+    if meanwhile == 'c leaves and starts':
+        bench.start('c')
+    bench.unconfirmed = set()
+    bench.advance(0.5)
+    context.key = make_key(bench)
