--- a/packages/pistachiohook-core/src/pistachiohook_core/configuration/state.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/configuration/state.py
@@ -299,27 +299,55 @@
 def _keep_formation(
     before: dict[str, Service], after: dict[str, Service]
 ) -> dict[str, Service]:
-    known = {one.number: one.formed_at for one in before.values()}
+    known = {one.number: one for one in before.values()}
     return {
-        name: attrs.evolve(one, formed_at=known.get(one.number, 0.0))
+        name: attrs.evolve(
+            one,
+            formed_at=known[one.number].formed_at,
+            membership=known[one.number].membership,
+        )
+        if one.number in known
+        else one
         for name, one in after.items()
     }
 
 
-def _note_formation(state: State, touched: AbstractSet[str] | None) -> State:
-    """Note when a service has its first target."""
-    names = state.targets.keys() if touched is None else touched
-    announced = {
-        state.targets[name].service for name in names if name in state.targets
+def _note_membership(
+    before: State, after: State, touched: AbstractSet[str] | None
+) -> State:
+    """Note which services have other targets, and which their first."""
+    names = touched
+    if names is None:
+        names = before.targets.keys() | after.targets.keys()
+    pairs = (
+        (before.targets.get(name), after.targets.get(name)) for name in names
+    )
+    changed = {
+        target.service
+        for pair in pairs
+        if _identify(pair[0]) != _identify(pair[1])
+        for target in pair
+        if target is not None
     }
-    formed = {
-        name: attrs.evolve(one, formed_at=state.time)
-        for name, one in state.services.items()
-        if name in announced and not one.formed_at
+    noted = {
+        name: attrs.evolve(
+            after.services[name],
+            membership=before.revision + 1,
+            formed_at=after.services[name].formed_at or after.time,
+        )
+        for name in changed
+        if name in after.services
     }
-    if not formed:
-        return state
-    return attrs.evolve(state, services={**state.services, **formed})
+    if not noted:
+        return after
+    return attrs.evolve(after, services={**after.services, **noted})
+
+
+def _identify(target: Target | None) -> Target | None:
+    """Return a target without what may change while it is a member."""
+    if target is None:
+        return None
+    return attrs.evolve(target, state=TargetState.SERVING, weight=0)
 
 
 def _list_targets(state: State) -> Iterable[Target]:
@@ -503,7 +531,7 @@
     :param touched: names of the targets and balancers that may differ; all
         when left out
     """
-    after = _note_formation(after, touched)
+    after = _note_membership(before, after, touched)
     services, gone_services = _compare(before.services, after.services)
     targets, gone_targets = _compare(before.targets, after.targets, touched)
     balancers, gone_balancers = _compare(
--- a/packages/pistachiohook-core/src/pistachiohook_core/published.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/published.py
@@ -34,6 +34,8 @@
     :param objective_share: share of requests within the objectives
     :param formed_at: when its first target was announced, in seconds since
         the epoch on the clock of control; 0 before
+    :param membership: published revision at which a target last joined, left
+        or started again
     """
 
     name: str
@@ -47,6 +49,7 @@
     latency_objective: float = 0.5
     objective_share: float = 0.999
     formed_at: float = 0.0
+    membership: int = 0
 
 
 @attrs.frozen
--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/ledger_messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/ledger_messages.py
@@ -58,7 +58,7 @@
     :param members: agents of the service, sorted
     :param first: when it was first confirmed, in seconds since the epoch
     :param last: when it was last confirmed, in seconds since the epoch
-    :param revision: published revision at the last confirmation
+    :param revision: published revision at which the members last changed
     """
 
     members: tuple[Member, ...]
@@ -205,7 +205,8 @@
 
     :param members: agents of the service, sorted
     :param confirmed_at: for which moment, in seconds since the epoch
-    :param revision: published revision that holds it; 0 when not known
+    :param revision: published revision at which the members last changed; 0
+        when that is not known
     """
 
     members: tuple[Member, ...]
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/ledger.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/ledger.py
@@ -54,7 +54,7 @@
     unused_answer: bytes
     measure_freshness: Callable[[], float] | None = None
     _members: tuple[Member, ...] = ()
-    _revision: int = 0
+    _membership: int = 0
     _links: dict[str, Address] = attrs.field(factory=dict)
     _verdicts: dict[int, asyncio.Future[Verdict]] = attrs.field(factory=dict)
     _keys: dict[int, str] = attrs.field(factory=dict)
@@ -67,14 +67,14 @@
             self._handle(Tick())
 
     def apply_targets(
-        self, targets: tuple[Target, ...], revision: int
+        self, targets: tuple[Target, ...], membership: int
     ) -> None:
         """Take over the published targets of the service.
 
         :param targets: every target of the service
-        :param revision: published revision that holds them
+        :param membership: revision at which they last changed
         """
-        self._revision = revision
+        self._membership = membership
         self._links = {target.name: target.link for target in targets}
         members = (
             Member(one.name, one.availability_zone, one.incarnation)
@@ -129,7 +129,7 @@
         if self.measure_freshness is None or not self._members:
             return
         confirmed_at = time.time() - self.measure_freshness()
-        read = MembershipRead(self._members, confirmed_at, self._revision)
+        read = MembershipRead(self._members, confirmed_at, self._membership)
         self._handle(read)
 
     def _handle(self, event: MembershipRead | MessageReceived | Tick) -> None:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
@@ -208,7 +208,8 @@
             one for one in published.targets if one.service == service
         )
         self._zones = {one.name: one.availability_zone for one in peers}
-        self.ledger.apply_targets(peers, published.revision)
+        membership = self.service.membership if self.service else 0
+        self.ledger.apply_targets(peers, membership)
         self.requests.apply_peers(peers, self.target.name)
         if self.target.name in self._zones and self.load is not None:
             self.load.apply_peers(peers)
--- a/tests/core/configuration/state.feature
+++ b/tests/core/configuration/state.feature
@@ -76,3 +76,17 @@
   Scenario: What can't be decoded changes nothing
     When the bytes "rubbish" are applied
     Then the published revision is 0
+
+  Scenario Outline: A service tells when its targets last changed
+    Given the services "a"
+    And node "n" with incarnation 5 announces target "t" through control "c1"
+    When <event>
+    Then the membership of service "a" has <fate>
+
+    Examples:
+      | event                                                                 | fate      |
+      | nothing happens                                                       | not moved |
+      | target "t" with incarnation 5 is drained                              | not moved |
+      | node "n" with incarnation 6 announces target "t" through control "c2" | moved     |
+      | node "n" with incarnation 5 leaves                                    | moved     |
+      | the services are "a b"                                                | not moved |
--- a/tests/core/configuration/steps/state_steps.py
+++ b/tests/core/configuration/steps/state_steps.py
@@ -227,3 +227,10 @@
 def compare_revision(context, revision):
     assert context.state.revision == revision
     assert context.state.index == 1
+
+
+@then('the membership of service "{name}" has {fate}')
+def compare_membership(context, name, fate):
+    first = 2
+    moved = context.state.services[name].membership > first
+    assert moved is (fate == 'moved'), context.state.services[name]
