--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 .PHONY: explore-membership
 .PHONY: format
 .PHONY: measure-blocking
+.PHONY: measure-capacity
 .PHONY: measure-control
 .PHONY: measure-crest
 .PHONY: measure-flows
@@ -44,6 +45,9 @@
 test: setup
 	$(BIN)/python tools/scenarios.py
 
+measure-capacity: setup
+	$(BIN)/python tools/measure_capacity.py
+
 measure-flows: setup
 	$(BIN)/python tools/measure_flows.py
 
--- a/tools/measure_flows.py
+++ b/tools/measure_flows.py
@@ -5,6 +5,7 @@
 from collections import Counter
 import json
 from pathlib import Path
+import resource
 import sys
 import threading
 import time
@@ -111,12 +112,16 @@
     :param imbalance: busiest target over the mean
     :param drain: time from the drain to the last new work, in seconds
     :param counts: what callers and targets counted
+    :param agent_kb: growth of soapfloor's agents a flow, in KB
+    :param balancer_kb: growth of the balancers a flow, in KB
     """
 
     established: int
     imbalance: float
     drain: float
     counts: dict[str, int]
+    agent_kb: float
+    balancer_kb: float
 
 
 def main() -> int:
@@ -144,6 +149,8 @@
         'broken': findings.counts['broken_flows'],
         'imbalance_max_over_mean': round(findings.imbalance, 3),
         'drain_to_no_new_work_s': round(findings.drain, 2),
+        'agent_kb_per_flow': round(findings.agent_kb, 1),
+        'balancer_kb_per_flow': round(findings.balancer_kb, 2),
         **{
             name: count
             for name, count in findings.counts.items()
@@ -162,6 +169,9 @@
 
 def run_changes(place: Place, processes: Processes) -> Findings:
     """Hold flows over a rolling restart, a drain and a kill."""
+    agents = [f'agents-soapfloor-{number}' for number in AGENTS]
+    balancers = [f'balancers-balancer-{number}' for number in BALANCERS]
+    before = [sum_memory(processes, names) for names in (agents, balancers)]
     start_callers(place, processes)
     held: list[int] = []
 
@@ -170,12 +180,33 @@
         return sum(held) >= FLOWS
 
     wait_until('every flow is established', is_ramped, PATIENCE)
+    after = [sum_memory(processes, names) for names in (agents, balancers)]
     restart_balancers(place, processes)
     drain = measure_drain(place)
     processes.kill('balancers-balancer-3')
     counts = sum_counts(processes)
     mean = sum(held) / len(held)
-    return Findings(sum(held), max(held) / mean, drain, counts)
+    agent_kb, balancer_kb = (
+        (end - start) / sum(held)
+        for start, end in zip(before, after, strict=True)
+    )
+    return Findings(
+        established=sum(held),
+        imbalance=max(held) / mean,
+        drain=drain,
+        counts=counts,
+        agent_kb=agent_kb,
+        balancer_kb=balancer_kb,
+    )
+
+
+def sum_memory(processes: Processes, names: list[str]) -> int:
+    """Return the resident memory of some processes, in KB."""
+    files = (
+        Path(f'/proc/{processes.running[name].pid}/statm') for name in names
+    )
+    pages = [int(file.read_text().split()[1]) for file in files]
+    return sum(pages) * resource.getpagesize() // 1024
 
 
 def start_callers(place: Place, processes: Processes) -> None:
