Send rubbish to every port of a balancer and an agent

Random, truncated, oversized and replayed datagrams and connections with random bytes, from a fixed seed: each is counted and every task goes on. The scenario first failed on two tasks of one name in a supervisor, the second of which hid the first; such a name is refused now.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/supervisor.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/supervisor.py
@@ -51,7 +51,12 @@
     _tasks: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
 
     def supervise(self, name: str, run: Runner) -> None:
-        """Start a task and keep it running."""
+        """Start a task and keep it running.
+
+        :raises ValueError: when a task of that name is running
+        """
+        if name in self._tasks:
+            raise ValueError(f'{self.name}/{name} is running')
         path = f'{self.name}/{name}'
         keeper = _keep_running(path, run, self.report)
         self._tasks[name] = asyncio.create_task(keeper, name=path)
--- /dev/null
+++ b/tests/daemon/fuzz/steps/fuzz_steps.py
@@ -0,0 +1,232 @@
+"""Steps about rubbish at the ports."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from pathlib import Path
+import random
+import socket
+import tempfile
+
+from behave import given
+from behave import then
+from behave import when
+from pistachiohook_core.addresses import Address
+from pistachiohook_core.metrics import Metrics
+from pistachiohook_core.published import Balancer
+from pistachiohook_core.published import Published
+from pistachiohook_core.published import Service
+from pistachiohook_core.steering.envelope import Envelope
+from pistachiohook_core.steering.envelope import Keys
+from pistachiohook_core.steering.envelope import Kind
+from pistachiohook_core.steering.envelope import seal
+from pistachiohook_core.steering.flow_messages import Register
+from pistachiohook_daemon.agent.peers import PEER_CODEC
+from pistachiohook_daemon.agent.peers import PeerLinks
+from pistachiohook_daemon.agent.role import start_agent
+from pistachiohook_daemon.balancer.role import start_balancer
+from pistachiohook_daemon.keys import LinkKeys
+from pistachiohook_daemon.settings import AgentSettings
+from pistachiohook_daemon.settings import BalancerSettings
+from pistachiohook_daemon.settings import EntrySettings
+from pistachiohook_daemon.settings import Settings
+from pistachiohook_daemon.supervisor import Supervisor
+from pistachiohook_standins.certificates import make_certificates
+
+ANY = Address('127.0.0.1', 0)
+NOWHERE = Address('127.0.0.1', 9)
+ENTRY = Address('127.0.0.1', 4433)
+CALLER = Address('127.0.0.1', 40000)
+KEYS = LinkKeys(b'k' * 32)
+SEED = 20
+PATIENCE = 20.0
+
+
+@given('a balancer and an agent with a published service')
+def start_roles(context):
+    context.loop = asyncio.new_event_loop()
+    context.events = []
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(context.loop.close)
+    context.add_cleanup(folder.cleanup)
+    context.add_cleanup(stop_roles, context)
+    make_certificates(Path(folder.name), ['soapfloor'])
+    context.loop.run_until_complete(start(context, Path(folder.name)))
+
+
+async def start(context, folder):
+    events = context.events
+
+    def report(event, **_):
+        events.append(event.number)
+
+    context.report = report
+    context.supervisors = {
+        'balancer': Supervisor('balancer', report),
+        'agent': Supervisor('agent', report),
+    }
+    context.metrics = {'balancer': Metrics(), 'agent': Metrics()}
+    context.balancer = start_balancer(
+        Settings('balancer', 'b1', 'nadi-b', ANY, 'keys', (NOWHERE,)),
+        BalancerSettings(ANY, (EntrySettings(ENTRY, ANY),)),
+        KEYS,
+        context.supervisors['balancer'],
+        context.metrics['balancer'],
+        report,
+    )
+    context.agent = start_agent(
+        Settings('agent', 'a1', 'nadi-b', ANY, 'keys', (NOWHERE,)),
+        AgentSettings(
+            target='t1',
+            service='soapfloor',
+            slots=4,
+            sealed=ANY,
+            link=ANY,
+            target_address=NOWHERE,
+            certificate=str(folder / 'soapfloor.pem'),
+            private_key=str(folder / 'soapfloor.key'),
+        ),
+        KEYS,
+        context.supervisors['agent'],
+        context.metrics['agent'],
+        report,
+    )
+    publish(context)
+
+
+def publish(context):
+    balancer = Balancer('b1', 'nadi-b', context.balancer.sealed.bind, 1)
+    published = Published(
+        1,
+        1,
+        (Service('soapfloor', 1, (ENTRY,)),),
+        (context.agent.target,),
+        (balancer,),
+    )
+    for role in (context.balancer, context.agent):
+        role.subscriber.subscription.current = True
+        role.apply(published)
+
+
+def stop_roles(context):
+    for supervisor in context.supervisors.values():
+        context.loop.run_until_complete(supervisor.cancel())
+
+
+def make_datagram(kind, draws, context):
+    envelope = Envelope(
+        Kind.ENTRY,
+        1,
+        context.agent.target.incarnation,
+        1,
+        0,
+        CALLER,
+        ENTRY,
+        context.balancer.sealed.bind,
+        draws.randbytes(60),
+    )
+    sealed = seal(envelope, Keys(KEYS.current))
+    return {
+        'random': lambda: draws.randbytes(draws.randrange(1, 1500)),
+        'truncated': lambda: sealed[: draws.randrange(1, len(sealed))],
+        'oversized': lambda: sealed + draws.randbytes(60000),
+        'replayed': lambda: sealed,
+    }[kind]()
+
+
+def find_port(context, port):
+    return {
+        "balancer's entry": lambda: context.balancer.entries[ENTRY].bind,
+        "balancer's sealed end": lambda: context.balancer.sealed.bind,
+        "agent's sealed end": lambda: context.agent.target.agent,
+        "agent's link": lambda: context.agent.target.link,
+        "agent's hand-over end": lambda: context.agent.target.hand_over,
+    }[port]()
+
+
+def count_all(context, port):
+    metrics = context.metrics['agent' if 'agent' in port else 'balancer']
+    counted = ('dropped', 'forwarded', 'answered', 'unknown', 'datagrams')
+    return sum(
+        amount
+        for name, amount in metrics.counts.items()
+        if name.startswith(counted)
+    )
+
+
+@when('{count:d} {kind} datagrams come to the {port}')
+def send_datagrams(context, count, kind, port):
+    draws = random.Random(SEED)
+    address = find_port(context, port)
+    context.port = port
+    context.count = count
+
+    async def send_all():
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for number in range(count):
+                data = make_datagram(kind, draws, context)
+                sender.sendto(data, (address.host, address.port))
+                while count_all(context, port) <= number:
+                    await asyncio.sleep(0)
+
+    wait_for(context, send_all())
+
+
+def wait_for(context, awaitable):
+    waiting = asyncio.wait_for(awaitable, PATIENCE)
+    return context.loop.run_until_complete(waiting)
+
+
+@then('all of them are counted as dropped or handled')
+def compare_counts(context):
+    assert count_all(context, context.port) >= context.count
+
+
+@then('every task of both roles goes on')
+def check_tasks(context):
+    assert 1001 not in context.events, context.events
+    for supervisor in context.supervisors.values():
+        tasks = supervisor._tasks
+        assert tasks
+        assert not any(task.done() for task in tasks.values())
+
+
+@when('{count:d} connections with random bytes come to the {port}')
+def connect_all(context, count, port):
+    draws = random.Random(SEED)
+    address = find_port(context, port)
+
+    async def connect():
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        with contextlib.suppress(OSError):
+            writer.write(draws.randbytes(draws.randrange(1, 5000)))
+            writer.write_eof()
+            await reader.read()
+        writer.close()
+
+    async def connect_each():
+        for _ in range(count):
+            await connect()
+
+    wait_for(context, connect_each())
+
+
+@then('a message of a peer still arrives')
+def send_message(context):
+    counts = context.metrics['agent'].counts
+    before = counts['dropped_wrong_service']
+    message = Register(99, context.agent.target.agent, 1, 1, b'')
+
+    async def insist():
+        peers = PeerLinks('t2', PEER_CODEC, KEYS, context.report)
+        sweeping = asyncio.create_task(peers.sweep())
+        while counts['dropped_wrong_service'] == before:
+            peers.send(context.agent.target.link, message)
+            await asyncio.sleep(0.01)
+        sweeping.cancel()
+        await asyncio.gather(sweeping, return_exceptions=True)
+
+    wait_for(context, insist())
