--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -5,6 +5,7 @@
 import enum
 import json
 from pathlib import Path
+import signal
 import sys
 import time
 
@@ -35,6 +36,10 @@
     KILL = 'kill'
     #: SIGTERM.
     TERMINATE = 'terminate'
+    #: SIGSTOP.
+    FREEZE = 'freeze'
+    #: SIGCONT.
+    THAW = 'thaw'
     #: Start again what was killed or terminated.
     START = 'start'
     #: Drain a target by the command line.
@@ -114,6 +119,10 @@
         processes.terminate(name)
     elif fault.act is Act.START:
         processes.start(name, DAEMON, place.settings / f'{fault.name}.toml')
+    elif fault.act is Act.FREEZE:
+        processes.send_signal(name, signal.SIGSTOP)
+    elif fault.act is Act.THAW:
+        processes.send_signal(name, signal.SIGCONT)
     elif fault.act is Act.DRAIN:
         run_command(place, 'drain', fault.name)
     else:
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -71,6 +71,10 @@
         process.kill()
         process.wait()
 
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.running[name].send_signal(number)
+
     def finish(self, name: str, timeout: float) -> int:
         """End one process in order.
 
@@ -121,6 +125,7 @@
         processes += [(f'{one.pid}', one) for one in self.leaving]
         for _, process in processes:
             process.terminate()
+            process.send_signal(signal.SIGCONT)
         deadline = time.monotonic() + STOP_TIMEOUT
         return [
             name
