Keep balancers in service when control has no quorum

Nodes already move on to a fresh instance where there is one. A balancer now leaves only when its state is older than stale_after, a setting that nothing read so far, and an agent's answer shows a later revision. Not run on processes with three control instances.

--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -56,14 +56,14 @@
     'The role cannot be started.',
     'Look at the error, mend the settings or the files that they name.',
 )
-BALANCER_STALE = Event(
+BALANCER_UNHEALTHY = Event(
     2001,
     Level.WARNING,
-    'The published state is too old; the balancer reports itself unhealthy.',
-    'Check the control instances and the way to them.',
+    'The balancer reports itself unhealthy; the reason stands beside.',
+    'When the reason is stale state, check the way to the control instances.',
 )
-BALANCER_FRESH = Event(
-    2002, Level.INFO, 'The published state is fresh; the balancer serves.'
+BALANCER_HEALTHY = Event(
+    2002, Level.INFO, 'The balancer reports itself healthy.'
 )
 REPLICA_STARTED = Event(4001, Level.INFO, 'The replica is started.')
 JOURNAL_FOUNDED = Event(
--- a/packages/pistachiohook-core/src/pistachiohook_core/steering/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/steering/balancer.py
@@ -91,6 +91,7 @@
     _members: dict[str, tuple[Target, ...]] = attrs.field(
         factory=dict, init=False
     )
+    _seen_revision: int = attrs.field(default=0, init=False)
     _tables: dict[str, Table] = attrs.field(factory=dict, init=False)
     _former: dict[str, Table] = attrs.field(factory=dict, init=False)
     _routes: dict[Address, _Route] = attrs.field(factory=dict, init=False)
@@ -218,6 +219,10 @@
             b'',
         )
 
+    def is_behind(self) -> bool:
+        """Return whether an agent has applied a later revision."""
+        return self._seen_revision > self.published.revision
+
     def accept_answer(
         self, data: bytes, keys: Keys
     ) -> Result[CallerAnswer, DropReason]:
@@ -238,6 +243,7 @@
             return Failed(DropReason.UNKNOWN_ENTRY)
         if service.number != envelope.service:
             return Failed(DropReason.WRONG_SERVICE)
+        self._seen_revision = max(self._seen_revision, envelope.table_version)
         return Success(
             CallerAnswer(envelope.entry, envelope.caller, envelope.payload)
         )
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/balancer/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/balancer/role.py
@@ -8,9 +8,8 @@
 
 import attrs
 from pistachiohook_core.addresses import pack_address
-from pistachiohook_core.events import BALANCER_FRESH
-from pistachiohook_core.events import BALANCER_STALE
-from pistachiohook_core.membership.subscription import Condition
+from pistachiohook_core.events import BALANCER_HEALTHY
+from pistachiohook_core.events import BALANCER_UNHEALTHY
 from pistachiohook_core.published import Balancer
 from pistachiohook_core.published import Published
 from pistachiohook_core.steering.balancer import BalancerRouter
@@ -21,6 +20,8 @@
 from ..datagrams import DatagramSocket
 from ..endpoints import Health
 from ..subscriber import build_subscriber
+from .health import judge_health
+from .health import Situation
 
 if TYPE_CHECKING:
     from pistachiohook_core.addresses import Address
@@ -47,6 +48,7 @@
     :param report: logs an event
     :param sealed: socket between balancer and agents
     :param entries: socket of each service address
+    :param stale_after: age from which being behind matters, in seconds
     """
 
     router: BalancerRouter
@@ -55,6 +57,7 @@
     report: Report
     sealed: DatagramSocket
     entries: dict[Address, DatagramSocket]
+    stale_after: float
     subscriber: Subscriber | None = None
     _good: bool = False
     _leaving: bool = False
@@ -98,7 +101,7 @@
         health = self._judge_health()
         if health.good != self._good:
             self._good = health.good
-            event = BALANCER_FRESH if health.good else BALANCER_STALE
+            event = BALANCER_HEALTHY if health.good else BALANCER_UNHEALTHY
             self.report(event, reason=health.reason)
         return health
 
@@ -110,13 +113,16 @@
             self.subscriber.leave()
 
     def _judge_health(self) -> Health:
-        if self._leaving:
-            return Health(False, 'shutting down')
-        if self.subscriber is None or not self.subscriber.is_current():
-            return Health(False, 'not current since the start')
-        if self.subscriber.find_condition() is Condition.STALE:
-            return Health(False, 'the published state is stale')
-        return Health(True, 'serving')
+        subscriber = self.subscriber
+        if subscriber is None:
+            return Health(False, 'not subscribed')
+        situation = Situation(
+            leaving=self._leaving,
+            current=subscriber.is_current(),
+            age=subscriber.measure_freshness(),
+            behind=self.router.is_behind(),
+        )
+        return judge_health(situation, self.stale_after)
 
 
 def start_balancer(
@@ -152,6 +158,7 @@
         report=report,
         sealed=sealed,
         entries=entries,
+        stale_after=own.stale_after,
     )
     role.subscriber = build_subscriber(
         settings.name, settings.control, link_keys, report, role.apply
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/settings.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/settings.py
@@ -56,7 +56,8 @@
     )
     stale_after: float = key(
         'number',
-        'age of the published state at which the health endpoint fails',
+        'age of the last proof of a quorum from which the health endpoint'
+        ' fails, when an agent has a later revision',
         5.0,
         unit='seconds',
         low=1,
