Announce a cold target with the weight it starts from

An agent announced the full weight first and the keeper's first step a few seconds later, so a cold target was flooded before its slow start began.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
@@ -291,6 +291,7 @@
     """
     sealed = DatagramSocket(own.sealed)
     peers = PeerLinks(own.target, PEER_CODEC, link_keys, report)
+    keeper = WeightKeeper(own.slots)
     target = Target(
         name=own.target,
         service=own.service,
@@ -299,6 +300,7 @@
         link=peers.listen(own.link),
         incarnation=time.time_ns(),
         slots=own.slots,
+        weight=keeper.weight,
     )
     keys = Keys(link_keys.current, link_keys.former)
     owner = FlowOwner(
@@ -325,7 +327,7 @@
         own.target_address,
         requests,
         peers,
-        WeightKeeper(own.slots),
+        keeper,
         role.announce_weight,
     )
     role.engine = Engine(
