Let a fault in one flow end that flow only

A read-through found that a caller's header field that is not UTF-8 raised in the path of every datagram of the agent: the socket's task failed, and five of them within a minute ended the process. Any other fault of one connection did the same. Fields are now read as Latin-1, as RFC 9110 has it, and a fault in one flow is logged as event 3001 and ends that flow. Both scenarios failed before.

Building an agent moved to a module of its own, what is read off a request too; names and behaviour are the same.

--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -65,6 +65,12 @@
 BALANCER_HEALTHY = Event(
     2002, Level.INFO, 'The balancer reports itself healthy.'
 )
+FLOW_FAILED = Event(
+    3001,
+    Level.ERROR,
+    'A flow had an unexpected fault and was ended; the others go on.',
+    'Report the error with what the caller was doing.',
+)
 REPLICA_STARTED = Event(4001, Level.INFO, 'The replica is started.')
 JOURNAL_FOUNDED = Event(
     4002,
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/engine.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 import itertools
 from typing import TYPE_CHECKING
 
@@ -23,8 +24,10 @@
 from aioquic.quic.packet import pull_quic_header
 from aioquic.quic.packet import QuicPacketType
 import attrs
+from pistachiohook_core.events import FLOW_FAILED
 from pistachiohook_core.steering.flow_messages import Flow as FlowKey
 
+from ..logs import describe_error
 from .connection import AgentConnection
 from .connection import STREAM_WINDOW
 
@@ -33,6 +36,8 @@
 
     from aioquic.quic.packet import QuicHeader
 
+    from ..logs import Report
+
 #: Length of the connection ids that agents choose, in bytes.
 CONNECTION_ID_LENGTH = 8
 
@@ -92,6 +97,7 @@
     :param receive_event: takes what a caller does on a flow
     :param open_flow: told when a handshake is complete
     :param end_flow: told when a connection has ended
+    :param report: logs an event
     """
 
     configuration: QuicConfiguration
@@ -100,6 +106,7 @@
     receive_event: Callable[[Flow, H3Event], None]
     open_flow: Callable[[FlowKey], None]
     end_flow: Callable[[Flow], None]
+    report: Report
     _flows: dict[FlowKey, list[Flow]] = attrs.field(factory=dict)
     _by_id: dict[bytes, Flow] = attrs.field(factory=dict)
 
@@ -128,10 +135,7 @@
             flow = self._open_flow(key, header, len(payload))
         if flow is None:
             return False
-        now = asyncio.get_running_loop().time()
-        path = (key.caller.host, key.caller.port)
-        flow.connection.receive_datagram(payload, path, now=now)
-        self.advance(flow)
+        self._guard(flow, partial(self._take_datagram, flow, payload))
         return True
 
     def advance(self, flow: Flow) -> None:
@@ -153,6 +157,26 @@
             self._forget_flow(flow)
             self._set_timer(flow)
 
+    def _take_datagram(self, flow: Flow, payload: bytes) -> None:
+        now = asyncio.get_running_loop().time()
+        path = (flow.key.caller.host, flow.key.caller.port)
+        flow.connection.receive_datagram(payload, path, now=now)
+        self.advance(flow)
+
+    def _guard(self, flow: Flow, act: Callable[[], None]) -> None:
+        """Let a fault in one flow end that flow only."""
+        try:
+            act()
+        except Exception as error:
+            peer = str(flow.key.caller)
+            text = describe_error(error)
+            self.report(
+                FLOW_FAILED, step='advance flow', peer=peer, error=text
+            )
+            if not flow.ended:
+                self._forget_flow(flow)
+            self._set_timer(flow)
+
     def _refuse_version(self, key: FlowKey, header: QuicHeader) -> bool:
         supported = self.configuration.supported_versions
         version = header.version
@@ -241,6 +265,9 @@
         now = max(flow._timer_at or 0.0, loop.time())
         flow._timer = None
         flow._timer_at = None
+        self._guard(flow, partial(self._pass_time, flow, now))
+
+    def _pass_time(self, flow: Flow, now: float) -> None:
         flow.connection.handle_timer(now=now)
         self.advance(flow)
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/requests.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/requests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import itertools
 import time
 from typing import Any
@@ -53,6 +52,11 @@
 from .exchange import CallerGoneError
 from .exchange import Header
 from .exchange import RequestExchange
+from .facts import digest_request
+from .facts import find_route
+from .facts import read_length
+from .facts import read_timeout
+from .facts import TIMEOUT_HEADER
 from .hand_over import Head
 from .hand_over import make_proof
 from .target import ask_target
@@ -78,15 +82,6 @@
 #: Methods that may run more than once (RFC 9110, 9.2.2) and have no body.
 REPEATABLE_METHODS = frozenset({'GET', 'HEAD', 'OPTIONS'})
 
-#: Time that a request has when it names none, in seconds.
-REQUEST_TIMEOUT = 30.0
-
-#: Longest time that a request may ask for, in seconds.
-REQUEST_TIMEOUT_MAX = 86_400.0
-
-#: Header field with the seconds that a caller still waits.
-TIMEOUT_HEADER = 'request-timeout'
-
 #: Header field with the idempotency key of a request.
 KEY_HEADER = 'idempotency-key'
 
@@ -174,7 +169,7 @@
         """
         number = next(self._numbers)
         now = time.monotonic()
-        deadline = now + _read_timeout(exchange)
+        deadline = now + read_timeout(exchange)
         served = _Served(
             number, exchange, ended, deadline, now, handed_over=handed_over
         )
@@ -266,7 +261,7 @@
             self._finish(served.number)
             return
         served.body = bytes(body)
-        served.digest = _digest_request(exchange, served.body)
+        served.digest = digest_request(exchange, served.body)
         self._admit(served)
 
     def _admit(self, served: _Served) -> None:
@@ -274,11 +269,11 @@
         request = Request(
             id=served.number,
             flow=exchange.flow_name,
-            route=_find_route(exchange),
+            route=find_route(exchange),
             idempotent=exchange.method in REPEATABLE_METHODS,
             deadline=served.deadline,
             key=served.key,
-            size=len(served.body) or _read_length(exchange),
+            size=len(served.body) or read_length(exchange),
         )
         self.handle(RequestArrived(request, served.handed_over))
 
@@ -469,28 +464,3 @@
 async def _yield_whole(body: bytes) -> AsyncIterator[bytes]:
     if body:
         yield body
-
-
-def _digest_request(exchange: RequestExchange, body: bytes) -> bytes:
-    head = f'{exchange.method} {exchange.path}\n'.encode()
-    return hashlib.blake2b(head + body, digest_size=16).digest()
-
-
-def _find_route(exchange: RequestExchange) -> str:
-    first = exchange.path.split('?')[0].split('/')[1:2]
-    return f'{exchange.method} /{"".join(first)}'
-
-
-def _read_timeout(exchange: RequestExchange) -> float:
-    text = exchange.find_header(TIMEOUT_HEADER)
-    try:
-        found = float(text) if text else REQUEST_TIMEOUT
-    except ValueError:
-        found = REQUEST_TIMEOUT
-    within = 0.0 <= found <= REQUEST_TIMEOUT_MAX
-    return found if within else REQUEST_TIMEOUT
-
-
-def _read_length(exchange: RequestExchange) -> int:
-    text = exchange.find_header('content-length') or ''
-    return int(text) if text.isascii() and text.isdigit() else 0
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
@@ -1,11 +1,9 @@
-"""The tasks of an agent."""
+"""What an agent does with its flows, requests and peers."""
 
 from __future__ import annotations
 
 import asyncio
 from functools import partial
-import hashlib
-import time
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -13,32 +11,17 @@
 from aioquic.h3.events import H3Event
 from aioquic.h3.events import HeadersReceived
 import attrs
-from pistachiohook_core.addresses import Address
-from pistachiohook_core.membership.weights import WeightKeeper
 from pistachiohook_core.published import Published
 from pistachiohook_core.published import Service
 from pistachiohook_core.published import Target
 from pistachiohook_core.published import TargetState
-from pistachiohook_core.requests.history import History
-from pistachiohook_core.requests.ledger_client import LedgerClient
-from pistachiohook_core.requests.ledger_replica import LedgerReplica
-from pistachiohook_core.requests.scheduler import Scheduler
-from pistachiohook_core.requests.scheduler import SchedulerSettings
 from pistachiohook_core.requests.scheduler_messages import DrainStarted
 from pistachiohook_core.requests.slot_messages import FreeSlotsReport
-from pistachiohook_core.steering.envelope import Keys
 from pistachiohook_core.steering.flow_messages import MessageReceived
 from pistachiohook_core.steering.flow_messages import PublishedChanged
 from pistachiohook_core.steering.flow_messages import Register
-from pistachiohook_core.steering.flows import FlowOwner
 
-from ..datagrams import DatagramSocket
 from ..endpoints import Health
-from ..subscriber import build_subscriber
-from .answers import describe_problem
-from .answers import encode_answer
-from .answers import NOT_RUN
-from .engine import configure_quic
 from .engine import Engine
 from .engine import Flow
 from .engine import StreamCancelled
@@ -46,29 +29,21 @@
 from .exchange import Header
 from .flows import FlowService
 from .goaway import send_goaway
-from .hand_over import HandOverServer
-from .hand_over import ProofChecker
 from .ledger import LedgerService
 from .load import LoadService
-from .peers import PEER_CODEC
-from .peers import PeerLinks
 from .requests import RequestService
 
 if TYPE_CHECKING:
     from pistachiohook_core.metrics import Metrics
 
-    from ..keys import LinkKeys
-    from ..logs import Report
     from ..settings import AgentSettings
-    from ..settings import Settings
     from ..subscriber import Subscriber
-    from ..supervisor import Supervisor
 
 #: Idle timeout until the policy of the service is known, in seconds.
 IDLE_TIMEOUT = 15.0
 
-#: Life of an idempotency key until the policy is known, in seconds.
-KEY_LIFETIME = 600.0
+#: Most pseudo-header fields of a request (RFC 9114, 4.3.1, and RFC 9220).
+PSEUDO_HEADERS = 5
 
 #: Keepalives that go out within one idle timeout.
 KEEPALIVES = 3
@@ -238,20 +213,20 @@
     def _open_exchange(self, flow: Flow, event: HeadersReceived) -> None:
         if (flow, event.stream_id) in self._exchanges:
             return
-        fields = {
-            name.decode(): value.decode() for name, value in event.headers
-        }
+        headers = tuple(
+            Header(name.decode('latin-1'), value.decode('latin-1'))
+            for name, value in event.headers
+        )
+        pseudo = {one.name: one.value for one in headers[:PSEUDO_HEADERS]}
         assert self.engine is not None
         exchange = Exchange(
             engine=self.engine,
             flow=flow,
             stream_id=event.stream_id,
-            method=fields.get(':method', 'GET'),
-            path=fields.get(':path', '/'),
+            method=pseudo.get(':method', 'GET'),
+            path=pseudo.get(':path', '/'),
             headers=tuple(
-                Header(name.decode(), value.decode())
-                for name, value in event.headers
-                if not name.startswith(b':')
+                one for one in headers if not one.name.startswith(':')
             ),
             has_body=not event.stream_ended,
         )
@@ -269,110 +244,3 @@
             number, exchange = found
             exchange.cancel()
             self.requests.cancel(number)
-
-
-def start_agent(
-    settings: Settings,
-    own: AgentSettings,
-    link_keys: LinkKeys,
-    supervisor: Supervisor,
-    metrics: Metrics,
-    report: Report,
-) -> AgentRole:
-    """Bind the sockets and start the tasks of an agent.
-
-    :param settings: settings of the process
-    :param own: the agent's part of them
-    :param link_keys: keys of links and envelopes
-    :param supervisor: keeps the tasks
-    :param metrics: takes counts and durations
-    :param report: logs an event
-    :raises OSError: when an address cannot be bound or a file not be read
-    """
-    sealed = DatagramSocket(own.sealed)
-    peers = PeerLinks(own.target, PEER_CODEC, link_keys, report)
-    keeper = WeightKeeper(own.slots)
-    target = Target(
-        name=own.target,
-        service=own.service,
-        availability_zone=settings.availability_zone,
-        agent=sealed.open(),
-        link=peers.listen(own.link),
-        incarnation=time.time_ns(),
-        slots=own.slots,
-        weight=keeper.weight,
-    )
-    keys = Keys(link_keys.current, link_keys.former)
-    owner = FlowOwner(
-        own.service, own.target, target.agent, target.incarnation
-    )
-    flows = FlowService(owner, keys, sealed, peers, metrics)
-    scheduler = Scheduler(SchedulerSettings(own.slots), time.monotonic())
-    ledger = build_ledger(target, peers)
-    requests = RequestService(
-        scheduler, ledger, own.target_address, metrics, link_keys
-    )
-    handed = HandOverServer(
-        partial(requests.accept, handed_over=True),
-        requests.cancel,
-        own.target,
-        ProofChecker(link_keys),
-        report,
-    )
-    beside = own.hand_over or Address(own.link.host, 0)
-    target = attrs.evolve(target, hand_over=handed.listen(beside))
-    role = AgentRole(own, target, metrics, flows, requests, ledger)
-    role.load = LoadService(
-        own.target,
-        own.target_address,
-        requests,
-        peers,
-        keeper,
-        role.announce_weight,
-    )
-    role.engine = Engine(
-        configuration=configure_quic(
-            own.certificate, own.private_key, IDLE_TIMEOUT
-        ),
-        reset_key=derive_reset_key(link_keys),
-        transmit=flows.transmit,
-        receive_event=role.receive_event,
-        open_flow=flows.open_flow,
-        end_flow=role.end_flow,
-    )
-    flows.engine = role.engine
-    role.subscriber = build_subscriber(
-        settings.name, settings.control, link_keys, report, role.apply
-    )
-    ledger.measure_freshness = role.subscriber.measure_freshness
-    role.subscriber.announce(target=target)
-    supervisor.supervise('sealed', partial(sealed.serve, flows.receive_sealed))
-    supervisor.supervise('flows', flows.run)
-    supervisor.supervise('peers', partial(peers.serve, role.receive_message))
-    supervisor.supervise('idle links', peers.sweep)
-    supervisor.supervise('ledger', ledger.run)
-    supervisor.supervise('requests', requests.run)
-    supervisor.supervise('load', role.load.watch)
-    supervisor.supervise('free slots', role.load.tell)
-    supervisor.supervise('keepalive', role.keep_alive)
-    supervisor.supervise('subscriber', role.subscriber.run)
-    return role
-
-
-def build_ledger(target: Target, peers: PeerLinks) -> LedgerService:
-    """Return an agent's part in the ledger, with no memory of old keys."""
-    lifetime = KEY_LIFETIME
-    client = LedgerClient(
-        target.name, target.incarnation, lifetime, History(lifetime)
-    )
-    replica = LedgerReplica(
-        target.name, target.incarnation, time.time(), lifetime
-    )
-    unused_answer = encode_answer(describe_problem(NOT_RUN))
-    return LedgerService(client, replica, peers, unused_answer)
-
-
-def derive_reset_key(link_keys: LinkKeys) -> bytes:
-    """Return the key of stateless resets, equal at every agent."""
-    keyed = hashlib.blake2b(key=link_keys.current, person=b'reset tokens')
-    return keyed.digest()
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/wiring.py
@@ -0,0 +1,227 @@
+"""Builds an agent from its settings and starts its tasks."""
+
+from __future__ import annotations
+
+from functools import partial
+import hashlib
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+from pistachiohook_core.addresses import Address
+from pistachiohook_core.membership.weights import WeightKeeper
+from pistachiohook_core.published import Target
+from pistachiohook_core.requests.history import History
+from pistachiohook_core.requests.ledger_client import LedgerClient
+from pistachiohook_core.requests.ledger_replica import LedgerReplica
+from pistachiohook_core.requests.scheduler import Scheduler
+from pistachiohook_core.requests.scheduler import SchedulerSettings
+from pistachiohook_core.steering.envelope import Keys
+from pistachiohook_core.steering.flows import FlowOwner
+
+from ..datagrams import DatagramSocket
+from ..subscriber import build_subscriber
+from .answers import describe_problem
+from .answers import encode_answer
+from .answers import NOT_RUN
+from .engine import configure_quic
+from .engine import Engine
+from .flows import FlowService
+from .hand_over import HandOverServer
+from .hand_over import ProofChecker
+from .ledger import LedgerService
+from .load import LoadService
+from .peers import PEER_CODEC
+from .peers import PeerLinks
+from .requests import RequestService
+from .role import AgentRole
+from .role import IDLE_TIMEOUT
+
+if TYPE_CHECKING:
+    from pistachiohook_core.metrics import Metrics
+
+    from ..keys import LinkKeys
+    from ..logs import Report
+    from ..settings import AgentSettings
+    from ..settings import Settings
+    from ..supervisor import Supervisor
+
+#: Life of an idempotency key until the policy is known, in seconds.
+KEY_LIFETIME = 600.0
+
+
+@attrs.frozen
+class _Surroundings:
+    """What every part of an agent is built from."""
+
+    settings: Settings
+    own: AgentSettings
+    link_keys: LinkKeys
+    metrics: Metrics
+    report: Report
+
+
+def start_agent(
+    settings: Settings,
+    own: AgentSettings,
+    link_keys: LinkKeys,
+    supervisor: Supervisor,
+    metrics: Metrics,
+    report: Report,
+) -> AgentRole:
+    """Bind the sockets and start the tasks of an agent.
+
+    :param settings: settings of the process
+    :param own: the agent's part of them
+    :param link_keys: keys of links and envelopes
+    :param supervisor: keeps the tasks
+    :param metrics: takes counts and durations
+    :param report: logs an event
+    :raises OSError: when an address cannot be bound or a file not be read
+    """
+    around = _Surroundings(settings, own, link_keys, metrics, report)
+    sealed = DatagramSocket(own.sealed)
+    peers = PeerLinks(own.target, PEER_CODEC, link_keys, report)
+    keeper = WeightKeeper(own.slots)
+    target = _describe_target(around, sealed, peers, keeper.weight)
+    flows = _build_flows(around, target, sealed, peers)
+    ledger = _build_ledger(target, peers)
+    requests = _build_requests(around, ledger)
+    target = attrs.evolve(
+        target, hand_over=_listen_for_peers(around, requests)
+    )
+    role = AgentRole(own, target, metrics, flows, requests, ledger)
+    role.load = LoadService(
+        own.target,
+        own.target_address,
+        requests,
+        peers,
+        keeper,
+        role.announce_weight,
+    )
+    role.engine = _build_engine(around, role)
+    flows.engine = role.engine
+    role.subscriber = build_subscriber(
+        settings.name, settings.control, link_keys, report, role.apply
+    )
+    ledger.measure_freshness = role.subscriber.measure_freshness
+    role.subscriber.announce(target=target)
+    _start_tasks(supervisor, role, role.load, sealed, peers)
+    return role
+
+
+def _describe_target(
+    around: _Surroundings,
+    sealed: DatagramSocket,
+    peers: PeerLinks,
+    weight: int,
+) -> Target:
+    own = around.own
+    return Target(
+        name=own.target,
+        service=own.service,
+        availability_zone=around.settings.availability_zone,
+        agent=sealed.open(),
+        link=peers.listen(own.link),
+        incarnation=time.time_ns(),
+        slots=own.slots,
+        weight=weight,
+    )
+
+
+def _build_flows(
+    around: _Surroundings,
+    target: Target,
+    sealed: DatagramSocket,
+    peers: PeerLinks,
+) -> FlowService:
+    link_keys = around.link_keys
+    keys = Keys(link_keys.current, link_keys.former)
+    owner = FlowOwner(
+        target.service, target.name, target.agent, target.incarnation
+    )
+    return FlowService(owner, keys, sealed, peers, around.metrics)
+
+
+def _build_ledger(target: Target, peers: PeerLinks) -> LedgerService:
+    """Return an agent's part in the ledger, with no memory of old keys."""
+    lifetime = KEY_LIFETIME
+    client = LedgerClient(
+        target.name, target.incarnation, lifetime, History(lifetime)
+    )
+    replica = LedgerReplica(
+        target.name, target.incarnation, time.time(), lifetime
+    )
+    unused_answer = encode_answer(describe_problem(NOT_RUN))
+    return LedgerService(client, replica, peers, unused_answer)
+
+
+def _build_requests(
+    around: _Surroundings, ledger: LedgerService
+) -> RequestService:
+    own = around.own
+    scheduler = Scheduler(SchedulerSettings(own.slots), time.monotonic())
+    return RequestService(
+        scheduler,
+        ledger,
+        own.target_address,
+        around.metrics,
+        around.link_keys,
+    )
+
+
+def _listen_for_peers(
+    around: _Surroundings, requests: RequestService
+) -> Address:
+    own = around.own
+    server = HandOverServer(
+        partial(requests.accept, handed_over=True),
+        requests.cancel,
+        own.target,
+        ProofChecker(around.link_keys),
+        around.report,
+    )
+    return server.listen(own.hand_over or Address(own.link.host, 0))
+
+
+def _build_engine(around: _Surroundings, role: AgentRole) -> Engine:
+    own = around.own
+    return Engine(
+        configuration=configure_quic(
+            own.certificate, own.private_key, IDLE_TIMEOUT
+        ),
+        reset_key=_derive_reset_key(around.link_keys),
+        transmit=role.flows.transmit,
+        receive_event=role.receive_event,
+        open_flow=role.flows.open_flow,
+        end_flow=role.end_flow,
+        report=around.report,
+    )
+
+
+def _derive_reset_key(link_keys: LinkKeys) -> bytes:
+    """Return the key of stateless resets, equal at every agent."""
+    keyed = hashlib.blake2b(key=link_keys.current, person=b'reset tokens')
+    return keyed.digest()
+
+
+def _start_tasks(
+    supervisor: Supervisor,
+    role: AgentRole,
+    load: LoadService,
+    sealed: DatagramSocket,
+    peers: PeerLinks,
+) -> None:
+    assert role.subscriber is not None
+    receive_sealed = partial(sealed.serve, role.flows.receive_sealed)
+    receive_messages = partial(peers.serve, role.receive_message)
+    supervisor.supervise('sealed', receive_sealed)
+    supervisor.supervise('flows', role.flows.run)
+    supervisor.supervise('peers', receive_messages)
+    supervisor.supervise('idle links', peers.sweep)
+    supervisor.supervise('ledger', role.ledger.run)
+    supervisor.supervise('requests', role.requests.run)
+    supervisor.supervise('load', load.watch)
+    supervisor.supervise('free slots', load.tell)
+    supervisor.supervise('keepalive', role.keep_alive)
+    supervisor.supervise('subscriber', role.subscriber.run)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/composition.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/composition.py
@@ -16,7 +16,7 @@
 import pynng
 from returns.result import Failure as Failed
 
-from .agent.role import start_agent
+from .agent.wiring import start_agent
 from .balancer.role import start_balancer
 from .control.role import run_control
 from .endpoints import Health
--- a/tests/daemon/fuzz/fuzz.feature
+++ b/tests/daemon/fuzz/fuzz.feature
@@ -33,3 +33,17 @@
       | port                  |
       | agent's link          |
       | agent's hand-over end |
+
+  Scenario: A header field that is no text
+    Given a balancer and an agent with a published service
+    When a caller sends a header field with the bytes ff fe
+    Then every task of both roles goes on
+    And the agent has taken 1 request
+
+  Scenario: A fault in one flow
+    Given a balancer and an agent with a published service
+    And two flows at the agent, of which the first fails at any datagram
+    When a datagram comes for each of them
+    Then only the second goes on
+    And the events hold 3001
+    And every task of both roles goes on
--- a/tests/daemon/fuzz/steps/fuzz_steps.py
+++ b/tests/daemon/fuzz/steps/fuzz_steps.py
@@ -9,6 +9,7 @@
 import socket
 import tempfile
 
+from aioquic.h3.events import HeadersReceived
 from behave import given
 from behave import then
 from behave import when
@@ -21,10 +22,12 @@
 from pistachiohook_core.steering.envelope import Keys
 from pistachiohook_core.steering.envelope import Kind
 from pistachiohook_core.steering.envelope import seal
+from pistachiohook_core.steering.flow_messages import Flow
 from pistachiohook_core.steering.flow_messages import Register
+from pistachiohook_daemon.agent.engine import Flow as HeldFlow
 from pistachiohook_daemon.agent.peers import PEER_CODEC
 from pistachiohook_daemon.agent.peers import PeerLinks
-from pistachiohook_daemon.agent.role import start_agent
+from pistachiohook_daemon.agent.wiring import start_agent
 from pistachiohook_daemon.balancer.role import start_balancer
 from pistachiohook_daemon.keys import LinkKeys
 from pistachiohook_daemon.settings import AgentSettings
@@ -230,3 +233,84 @@
         await asyncio.gather(sweeping, return_exceptions=True)
 
     wait_for(context, insist())
+
+
+class FakeConnection:
+    """Takes datagrams, or fails at each."""
+
+    def __init__(self, fails):
+        self.fails = fails
+        self.taken = 0
+
+    def receive_datagram(self, *_, **__):
+        if self.fails:
+            raise ValueError('a fault in one flow')
+        self.taken += 1
+
+    def next_event(self):
+        return None
+
+    def datagrams_to_send(self, **_):
+        return []
+
+    def get_timer(self):
+        return None
+
+
+@when('a caller sends a header field with the bytes ff fe')
+def send_bytes(context):
+    headers = [
+        (b':method', b'GET'),
+        (b':path', b'/\xff'),
+        (b'field', b'\xff\xfe'),
+    ]
+    key = Flow(CALLER, ENTRY)
+    flow = HeldFlow(key, FakeConnection(fails=False))
+
+    async def receive():
+        event = HeadersReceived(headers, 0, True)
+        context.agent.receive_event(flow, event)
+
+    wait_for(context, receive())
+
+
+@then('the agent has taken {count:d} request')
+def compare_requests(context, count):
+    assert context.metrics['agent'].counts['requests'] == count
+
+
+@given('two flows at the agent, of which the first fails at any datagram')
+def make_flows(context):
+    engine = context.agent.engine
+    context.flows = []
+    for number in range(2):
+        key = Flow(Address('127.0.0.1', 40000 + number), ENTRY)
+        flow = HeldFlow(key, FakeConnection(fails=number == 0))
+        engine._flows[key] = [flow]
+        engine._add_id(flow, bytes([number]) * 8)
+        context.flows.append(flow)
+
+
+@when('a datagram comes for each of them')
+def receive_each(context):
+    async def receive():
+        for number, flow in enumerate(context.flows):
+            payload = b'\x40' + bytes([number]) * 8 + bytes(30)
+            context.agent.engine.receive(flow.key, payload)
+
+    wait_for(context, receive())
+
+
+@then('only the second goes on')
+def check_flows(context):
+    first, second = context.flows
+    engine = context.agent.engine
+    assert first.ended
+    assert not engine.has_flow(first.key)
+    assert engine.has_flow(second.key)
+    assert second.connection.taken == 1
+
+
+@then('the events hold {number:d}')
+def check_event(context, number):
+    assert number in context.events
