--- a/packages/pistachiohook-standins/src/pistachiohook_standins/flows.py
+++ b/packages/pistachiohook-standins/src/pistachiohook_standins/flows.py
@@ -85,6 +85,7 @@
     def __init__(self, quic: QuicConnection) -> None:
         super().__init__(quic)
         self.lost = ''
+        self.retry_after = 0.0
         self._closing = False
         self._exchanges: dict[int, Exchange] = {}
         self._http = _Http(quic)
