Send the callers of a draining target elsewhere one by one

The drain sent GOAWAY on some 310 flows at once, which opened them anew at two agents in the same second; queues of 64 filled, and the drained target itself started what had waited for 2 s. Ruled out: the ledger (no outcome was unknown to the callers but two) and broken flows (0).

GOAWAY is now spread over 5 s, and a draining target starts what waits for 1 s at most. Not mended: a slot is held while the ledger is asked, and the time that a refusal asks for may pass the caller's deadline.

--- a/packages/pistachiohook-core/src/pistachiohook_core/requests/scheduler.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/requests/scheduler.py
@@ -64,7 +64,7 @@
 HAND_OVER_SIZE_MAX = 65_536
 
 #: Time for which a draining agent still starts what waits, in seconds.
-DRAIN_START_MAX = 2.0
+DRAIN_START_MAX = 1.0
 
 #: Time after a cancellation in which the target gives its slot back, in
 #: seconds.
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/role.py
@@ -51,6 +51,10 @@
 #: Time that the published drain needs to reach the balancers, in seconds.
 DRAIN_NOTICE = 1.0
 
+#: Time over which the callers of a draining target are sent elsewhere, in
+#: seconds; what they ask meanwhile is handed over.
+GOAWAY_SPREAD = 5.0
+
 #: Interval at which a drain looks for work in progress, in seconds.
 DRAIN_INTERVAL = 0.05
 
@@ -81,6 +85,7 @@
         factory=dict
     )
     _draining: bool = False
+    _announcing: asyncio.Task[None] | None = None
     _zones: dict[str, str] = attrs.field(factory=dict)
 
     def apply(self, published: Published) -> None:
@@ -104,9 +109,16 @@
         """Take nothing new; what is in progress goes on."""
         self._draining = True
         self.requests.handle(DrainStarted())
-        if self.engine is not None:
-            for flow in self.engine.list_flows():
-                send_goaway(self.engine, flow)
+        if self._announcing is None and self.engine is not None:
+            announcing = self._announce_goaway(self.engine)
+            self._announcing = asyncio.create_task(announcing)
+
+    async def _announce_goaway(self, engine: Engine) -> None:
+        """Send the callers elsewhere one by one, not in a herd."""
+        flows = engine.list_flows()
+        for flow in flows:
+            send_goaway(engine, flow)
+            await asyncio.sleep(GOAWAY_SPREAD / len(flows))
 
     async def shut_down(self) -> None:
         """Announce the end, finish the work in progress, close the flows."""
@@ -117,8 +129,7 @@
         self.start_drain()
         try:
             async with asyncio.timeout(self.own.drain_timeout):
-                while self.requests.count_open():
-                    await asyncio.sleep(DRAIN_INTERVAL)
+                await self._finish_work()
         except TimeoutError:
             self.metrics.count('drain_timeouts')
         if self.engine is not None:
@@ -127,6 +138,12 @@
         if self.subscriber is not None:
             self.subscriber.leave()
 
+    async def _finish_work(self) -> None:
+        if self._announcing is not None:
+            await self._announcing
+        while self.requests.count_open():
+            await asyncio.sleep(DRAIN_INTERVAL)
+
     def receive_message(self, peer: str, message: Any) -> None:
         """Take a message of another agent."""
         if isinstance(message, Register):
