Remove code that nothing calls

A read of the whole change found two constants, a counter and three methods that nothing reads or calls. Behaviour is the same. One of the methods was to drop what a connection keeps of a finished stream; it was never called, so a flow keeps one small number for each request with a body as long as it lives. That is not mended here: dropping it while a refused body still arrives would give the stream the library's growing window.

--- a/packages/pistachiohook-core/src/pistachiohook_core/steering/flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/steering/flows.py
@@ -176,10 +176,6 @@
         """Return the flows of the local engine."""
         return tuple(self._held)
 
-    def count_registered(self) -> int:
-        """Return how many flows of other agents are known here."""
-        return len(self._registrations)
-
     def _choose_balancer(
         self, flow: Flow, preferred: Address | None, now: float
     ) -> Address | None:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/connection.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/connection.py
@@ -22,15 +22,9 @@
 #: Unread bytes of one request body that an agent holds at most.
 STREAM_WINDOW = 256 * 1024
 
-#: Unread bytes of all request bodies of a connection at most.
-CONNECTION_WINDOW = 16 * STREAM_WINDOW
-
 #: Space that a frame with two integers takes at most, in bytes.
 _LIMIT_FRAME_CAPACITY = 1 + 8 + 8
 
-#: Space that a frame with one integer takes at most, in bytes.
-_CONNECTION_FRAME_CAPACITY = 1 + 8
-
 
 def derive_reset_token(reset_key: bytes, connection_id: bytes) -> bytes:
     """Return the stateless reset token of a connection id.
@@ -69,7 +63,6 @@
         super().__init__(**arguments)
         self._reset_key = reset_key
         self._consumed: dict[int, int] = {}
-        self._consumed_in_all = 0
         first = self._host_cids[0]
         first.stateless_reset_token = derive_reset_token(reset_key, first.cid)
 
@@ -77,11 +70,6 @@
         """Count bytes of a request body that have left the agent."""
         known = self._consumed.get(stream_id, 0)
         self._consumed[stream_id] = known + amount
-        self._consumed_in_all += amount
-
-    def forget_stream(self, stream_id: int) -> None:
-        """Drop what is kept of a finished stream."""
-        self._consumed.pop(stream_id, None)
 
     def count_unsent(self, stream_id: int) -> int:
         """Return the bytes of a response that wait for the caller."""
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/links.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/links.py
@@ -25,8 +25,6 @@
 from returns.result import Failure as Failed
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from pistachiohook_core.codec import Codec
 
     from .keys import LinkKeys
@@ -127,10 +125,6 @@
         frame = _seal(session, _TO_DIALER, body, self.keys.current)
         return self._send_raw(self._pipes[peer], frame)
 
-    def list_peers(self) -> Iterable[int]:
-        """Return the numbers of the connections that are authenticated."""
-        return tuple(self._sessions)
-
     def close(self) -> None:
         """Close the socket and every connection."""
         self._socket.close()
