--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/changes.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/changes.py
@@ -19,11 +19,16 @@
 from .replication import broadcast
 
 if TYPE_CHECKING:
+    from .replica import Growth
     from .replica import Replica
 
 #: How many retired identities a membership remembers.
 RETIRED_MAX = 64
 
+#: Silence after which a learner is no longer kept, in seconds; one that only
+#: restarts is back long before.
+LEARNER_TIMEOUT = 30.0
+
 
 def seek_membership(replica: Replica, now: float) -> None:
     """Ask to be let in, or found a cluster where nobody has one.
@@ -49,7 +54,7 @@
     retired = message.sender in replica.membership.retired
     instance = name_instance(message.sender)
     if replica.role is Role.LEADER:
-        known = instance in replica.instances
+        known = replica.growth is not None or instance in replica.instances
         own = instance == name_instance(replica.identity)
         if known and not own:
             replica.joiners[message.sender] = None
@@ -60,6 +65,7 @@
         replica.hard_state.term,
         blank=not replica.cluster,
         retired=retired,
+        instances=tuple(map(name_instance, replica.membership.members)),
     )
     replica.outbox.append(Send(instance, answer))
 
@@ -67,6 +73,8 @@
 def receive_join_answer(replica: Replica, message: JoinAnswer) -> None:
     """Note which instances belong to no cluster."""
     instance = name_instance(message.sender)
+    if replica.growth is not None:
+        replica.known.update(message.instances)
     if message.retired:
         replica.outbox.append(Retired())
     elif message.blank:
@@ -96,10 +104,15 @@
 
 def _other_instances(replica: Replica) -> tuple[str, ...]:
     own = name_instance(replica.identity)
-    return tuple(name for name in replica.instances if name != own)
+    members = map(name_instance, replica.membership.members)
+    names = dict.fromkeys((*replica.instances, *members))
+    further = sorted(replica.known.difference(names))
+    return tuple(name for name in (*names, *further) if name != own)
 
 
 def _may_found(replica: Replica) -> bool:
+    if replica.growth is not None and not replica.growth.may_found:
+        return False
     first = min(replica.instances) == name_instance(replica.identity)
     return first and replica.blank.issuperset(_other_instances(replica))
 
@@ -123,10 +136,63 @@
         if _is_caught_up(replica, learner, now) and not _is_taken(
             replica, learner, now
         ):
-            return _take_in(membership, learner)
+            taken_in = _take_in(membership, learner)
+            if _has_room(replica, membership, taken_in):
+                return taken_in
+    if replica.growth is None:
+        return None
+    return _drop_silent(replica, replica.growth, membership, now)
+
+
+def _has_room(
+    replica: Replica, membership: Membership, changed: Membership
+) -> bool:
+    """Tell whether a change leaves no more voters than the cluster keeps."""
+    if replica.growth is None or len(changed.voters) < len(membership.voters):
+        return True
+    return len(changed.voters) <= replica.growth.voters
+
+
+def _drop_silent(
+    replica: Replica, growth: Growth, membership: Membership, now: float
+) -> Membership | None:
+    """Remove a silent voter that a learner can stand in for.
+
+    Its identity is not retired: its disk is whole, as far as is known, and
+    when it comes back it learns what it has missed.
+    """
+    standby = any(
+        _is_caught_up(replica, learner, now) for learner in membership.learners
+    )
+    if standby and len(membership.voters) >= growth.voters:
+        silent = _list_silent(
+            replica, membership.voters, replica.timing.election_max, now
+        )
+        if silent:
+            voters = tuple(
+                voter for voter in membership.voters if voter != silent[0]
+            )
+            return attrs.evolve(membership, voters=voters)
+    gone = _list_silent(replica, membership.learners, LEARNER_TIMEOUT, now)
+    if gone:
+        learners = tuple(
+            learner for learner in membership.learners if learner not in gone
+        )
+        return attrs.evolve(membership, learners=learners)
     return None
 
 
+def _list_silent(
+    replica: Replica, identities: tuple[str, ...], silence: float, now: float
+) -> tuple[str, ...]:
+    return tuple(
+        identity
+        for identity in identities
+        if identity in replica.progress
+        and now - replica.progress[identity].heard_at > silence
+    )
+
+
 def _add_learner(membership: Membership, joiner: str) -> Membership:
     instance = name_instance(joiner)
     replaced = tuple(
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/messages.py
@@ -150,10 +150,12 @@
 
     :param blank: whether the sender belongs to no cluster
     :param retired: whether the asker's identity is never let in again
+    :param instances: names of the members' instances
     """
 
     blank: bool
     retired: bool
+    instances: tuple[str, ...] = ()
 
 
 #: Messages between replicas.
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
@@ -44,6 +44,24 @@
     election_max: float = 2.0
 
 
+@attrs.frozen
+class Growth:
+    """How a cluster goes with the instances that come and go.
+
+    :param tolerance: voters whose disks may be lost at the same time
+    :param may_found: whether this instance may found a cluster; only when
+        the whole system starts for the first time
+    """
+
+    tolerance: int
+    may_found: bool = False
+
+    @property
+    def voters(self) -> int:
+        """Number of voters that the cluster keeps; the others learn."""
+        return 2 * self.tolerance + 1
+
+
 @attrs.define
 class Progress:
     """What a leader knows of another replica.
@@ -83,6 +101,8 @@
     :param identity: identity of its data folder
     :param instances: names of all instances that the settings name
     :param timing: durations
+    :param growth: how the cluster follows its instances; ``None`` when those
+        of the settings, and no others, vote
     :param random: source of the election timeouts
     :param cluster: identity of the founder; empty before it is known
     :param hard_state: term and vote
@@ -108,6 +128,7 @@
     :param proof_at: start of the newest read or round with a quorum behind it
     :param joiners: identities that ask to be let in
     :param blank: names of instances that said they belong to no cluster
+    :param known: names of further instances, from answers of others
     :param unsaved: entries that the next :class:`Persist` holds
     :param dirty: whether anything must be saved
     :param rewrite: whether the journal must begin anew
@@ -140,6 +161,8 @@
     proof_at: float = float('-inf')
     joiners: dict[str, None] = attrs.field(factory=dict)
     blank: set[str] = attrs.field(factory=set)
+    known: set[str] = attrs.field(factory=set)
+    growth: Growth | None = None
     unsaved: tuple[Entry, ...] = ()
     dirty: bool = False
     rewrite: bool = False
@@ -162,6 +185,7 @@
     timing: Timing,
     seed: int,
     now: float,
+    growth: Growth | None = None,
 ) -> Replica:
     """Return a replica that goes on from what its disk holds.
 
@@ -170,6 +194,7 @@
     :param timing: durations
     :param seed: seed of the election timeouts
     :param now: time, in seconds
+    :param growth: how the cluster follows its instances
     """
     replica = Replica(
         identity=saved.identity,
@@ -182,6 +207,7 @@
         commit=saved.snapshot.index,
         applied=saved.snapshot.index,
         heard_at=now,
+        growth=growth,
     )
     delay_election(replica, now)
     return replica
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/replication.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replication.py
@@ -205,11 +205,18 @@
 def _find_refusal(replica: Replica) -> Refusal | None:
     if replica.role is not Role.LEADER:
         return Refusal.NOT_LEADER
-    if len(replica.membership.voters) <= len(replica.instances) // 2:
+    if _has_too_few_voters(replica):
         return Refusal.TOO_FEW_VOTERS
     return None
 
 
+def _has_too_few_voters(replica: Replica) -> bool:
+    membership = replica.membership
+    if replica.growth is not None:
+        return membership.quorum <= replica.growth.tolerance
+    return len(membership.voters) <= len(replica.instances) // 2
+
+
 def _follow_membership(replica: Replica, now: float) -> None:
     known = replica.progress
     others = [
--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -65,12 +65,53 @@
 BALANCER_HEALTHY = Event(
     2002, Level.INFO, 'The balancer reports itself healthy.'
 )
+FLOW_OFFERED = Event(
+    2101, Level.INFO, 'A new flow was offered to an agent.'
+)
+FLOW_REFUSED = Event(
+    2102,
+    Level.WARNING,
+    'A flow was refused with a reset; no target has seen a request.',
+    'Look at the reason; compare the load of the agents of the service.',
+)
+FLOW_STRAYED = Event(
+    2103, Level.INFO, 'An agent does not hold a flow; its owner is looked for.'
+)
+FLOW_LOST = Event(
+    2104,
+    Level.WARNING,
+    'No agent holds a flow; its packets were dropped.',
+    'Look for an agent or target of the service that has ended.',
+)
+ROUTES_CHANGED = Event(
+    2105, Level.INFO, 'Routes of another version are in force here.'
+)
+ROUTES_UNREADABLE = Event(
+    2106,
+    Level.WARNING,
+    'Routes could not be fetched from a control instance; another is tried.',
+    'Check the control instance that is named as peer.',
+)
 FLOW_FAILED = Event(
     3001,
     Level.ERROR,
     'A flow had an unexpected fault and was ended; the others go on.',
     'Report the error with what the caller was doing.',
 )
+FLOW_DECLINED = Event(
+    3101, Level.INFO, 'A flow was not opened at this target.'
+)
+FLOW_OPENED = Event(3102, Level.INFO, 'A flow is open at the target.')
+FLOW_ENDED = Event(3103, Level.INFO, 'A flow has ended.')
+TARGET_CHANGED = Event(
+    3104, Level.INFO, 'The target has started anew, or is leaving.'
+)
+ANNOUNCEMENT_REFUSED = Event(
+    3105,
+    Level.WARNING,
+    'What a target says of itself could not be read; it is ignored.',
+    'Look for another program that uses the address of the agent.',
+)
 REPLICA_STARTED = Event(4001, Level.INFO, 'The replica is started.')
 JOURNAL_FOUNDED = Event(
     4002,
@@ -129,12 +170,37 @@
     'A control instance answers without a quorum; the node turns to the next.',
     'Check the links between the control instances.',
 )
+ROUTES_ACCEPTED = Event(4101, Level.INFO, 'A route set was accepted.')
+ROUTES_REFUSED = Event(
+    4102,
+    Level.WARNING,
+    'A route set was refused as a whole.',
+    'Look at the reason; correct the set.',
+)
+ROUTES_UNCERTAIN = Event(
+    4103,
+    Level.WARNING,
+    'The outcome of a change or read of the routes is not known.',
+    'Check that a majority of the control instances is up; it is sent again.',
+)
+SETTINGS_CHANGED = Event(
+    1007, Level.INFO, 'The settings file has changed and was read again.'
+)
+SETTINGS_UNREADABLE = Event(
+    1008,
+    Level.WARNING,
+    'The changed settings file could not be read; the former stay in force.',
+    'Correct the settings file.',
+)
 CONTROL_UNREACHABLE = Event(
     5001,
     Level.WARNING,
     'No answer from a control instance; the node turns to the next.',
     'Check the control instance that is named as peer.',
 )
+CONTROL_REGAINED = Event(
+    5004, Level.INFO, 'A control instance answers again.'
+)
 LINK_KEY_REFUSED = Event(
     5002,
     Level.WARNING,
--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -0,0 +1,476 @@
+"""Decisions of an agent: what its target receives."""
+
+from __future__ import annotations
+
+from collections import Counter
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..events import FLOW_DECLINED
+from ..events import FLOW_ENDED
+from ..events import FLOW_OPENED
+from ..events import TARGET_CHANGED
+from .actions import DeliverToCaller
+from .actions import DeliverToTarget
+from .actions import Log
+from .actions import Send
+from .messages import Carry
+from .messages import Declined
+from .messages import DeclineReason
+from .messages import Find
+from .messages import Found
+from .messages import Load
+from .messages import Offer
+from .messages import Stray
+from .messages import Taken
+from .messages import TargetState
+from .placement import estimate_wait
+from .segments import describe_flow
+
+if TYPE_CHECKING:
+    from ..addresses import Address
+    from .actions import Action
+    from .segments import Segment
+    from .segments import SegmentFormat
+
+#: Wait for a target to accept a flow, in seconds; it does so in less than a
+#: millisecond, and the caller repeats after 0.2.
+ACCEPT_TIMEOUT = 0.07
+
+#: Offers in a row without an answer after which a target counts as down.
+SILENT_OFFERS = 3
+
+#: Time for which a target that counts as down gets no offers, in seconds.
+DOWN_PAUSE = 1.0
+
+#: Life of a flow that a caller does not go on opening, in seconds; a caller
+#: gives up after 1.4.
+OPENING_TIMEOUT = 1.6
+
+#: Time for which a flow that has ended is still known, in seconds, for the
+#: packets that its ends send again.
+ENDED_TIMEOUT = 5.0
+
+#: Part of a new measurement in the mean time of a flow.
+SERVICE_TIME_GAIN = 0.1
+
+#: Mean time of a flow before the first one was measured, in milliseconds.
+SERVICE_MS = 50.0
+
+#: Largest number of a sequence, and 1.
+SEQUENCE_RANGE = 1 << 32
+
+
+class FlowState(enum.Enum):
+    """How far a flow has come at the target."""
+
+    #: The target has the opening packet.
+    OFFERED = 'offered'
+    #: The target has accepted it.
+    ACCEPTED = 'accepted'
+    #: The caller has gone on.
+    OPEN = 'open'
+    #: An end has said that it sends nothing more.
+    ENDED = 'ended'
+
+
+@attrs.define
+class AgentFlow:
+    """A flow at the target.
+
+    :param state: how far it has come
+    :param balancer: who sent its last packet
+    :param began_at: when its opening packet came
+    :param touched_at: when its last packet went by, either way
+    :param sequence: number with which the target accepted it
+    :param served_at: when the caller's first data came
+    """
+
+    state: FlowState
+    balancer: Address | None
+    began_at: float
+    touched_at: float
+    sequence: int = 0
+    served_at: float | None = None
+
+
+@attrs.define
+class TargetView:
+    """What a target says of itself.
+
+    :param name: its name
+    :param born: its start, in milliseconds of the time of day
+    :param sequence: number of its newest announcement since its start
+    :param slots: requests that it runs at once
+    :param leaving: whether it wants no new flows
+    :param cold_until: until when it is slow after its start
+    """
+
+    name: str
+    born: int
+    sequence: int
+    slots: int
+    leaving: bool
+    cold_until: float
+
+
+@attrs.define
+class Agent:
+    """State of an agent for a target of a pass-through service.
+
+    :param service: name of the target's service
+    :param zone: availability zone
+    :param form: form of the packets
+    :param started: start of the agent, in milliseconds of the time of day
+    :param started_at: the same on the clock of the calls
+    :param idle_timeout: after which an idle flow is forgotten, in seconds
+    :param flow_age_max: longest life of a flow, in seconds
+    """
+
+    service: str
+    zone: str
+    form: SegmentFormat
+    started: int
+    started_at: float
+    idle_timeout: float = 15.0
+    flow_age_max: float = 60.0
+    target: TargetView | None = None
+    flows: dict[bytes, AgentFlow] = attrs.field(factory=dict)
+    busy: int = 0
+    stopping: bool = False
+    counts: Counter[str] = attrs.field(factory=Counter)
+    service_ms: float = SERVICE_MS
+    _sequence: int = 0
+    _silent_offers: int = 0
+    _down_until: float = float('-inf')
+
+    def describe_load(self, now: float) -> Load:
+        """Return what balancers should know, numbered anew."""
+        self._sequence += 1
+        target = self.target
+        cold = max(0.0, target.cold_until - now) if target else 0.0
+        return Load(
+            self._sequence,
+            self.started,
+            self.service,
+            self.zone,
+            self.find_state(now),
+            target.slots if target else 0,
+            self.busy,
+            round(self.service_ms, 1),
+            int(cold * 1000),
+        )
+
+    def find_state(self, now: float) -> TargetState:
+        """Return whether the target takes new flows."""
+        if self.target is None:
+            return TargetState.UNKNOWN
+        if self.target.leaving or self.stopping:
+            return TargetState.LEAVING
+        if now < self._down_until:
+            return TargetState.DOWN
+        return TargetState.READY
+
+    def announce_target(self, target: TargetView) -> list[Action]:
+        """Take what the target says of itself.
+
+        What an earlier start of it says late, or it says late itself, is
+        dropped.
+        """
+        known = self.target
+        if known is not None:
+            same = known.born == target.born
+            if target.born < known.born:
+                return []
+            if same and target.sequence <= known.sequence:
+                return []
+            if same and known.leaving:
+                target.leaving = True
+        if known is None or known.born != target.born:
+            self._start_anew(known is not None)
+        changed = known is None or (
+            (known.born, known.leaving) != (target.born, target.leaving)
+        )
+        self.target = target
+        if not changed:
+            return []
+        fields = {
+            'target': target.name,
+            'born': target.born,
+            'leaving': target.leaving,
+            'slots': target.slots,
+        }
+        return [Log(TARGET_CHANGED, fields)]
+
+    def withdraw_target(self, name: str) -> list[Action]:
+        """Take that the target is going away."""
+        if self.target is None or self.target.name != name:
+            return []
+        self.target.leaving = True
+        fields = {
+            'target': name,
+            'born': self.target.born,
+            'leaving': True,
+            'slots': self.target.slots,
+        }
+        return [Log(TARGET_CHANGED, fields)]
+
+    def receive_message(
+        self, sender: Address, message: object, now: float
+    ) -> list[Action]:
+        """Take what a balancer sends."""
+        match message:
+            case Offer():
+                return self._take_offer(sender, message, now)
+            case Carry():
+                return self._take_carry(sender, message, now)
+            case Find():
+                return self._take_find(sender, message, now)
+        self.counts['messages_unexpected'] += 1
+        return []
+
+    def receive_packet(self, packet: bytes, now: float) -> list[Action]:
+        """Take what the target sends or gives back."""
+        segment = self.form.read_target(packet)
+        if segment is None:
+            self.counts['packets_malformed'] += 1
+            return []
+        self._silent_offers = 0
+        self._down_until = float('-inf')
+        if segment.returned:
+            return self._take_returned(segment, now)
+        flow = self.flows.get(segment.flow)
+        if flow is None:
+            flow = self._adopt(segment.flow, None, now)
+        flow.touched_at = now
+        if segment.accepts and flow.state is FlowState.OFFERED:
+            flow.state = FlowState.ACCEPTED
+            flow.sequence = segment.sequence
+        self.counts['packets_to_callers'] += 1
+        actions: list[Action] = [DeliverToCaller(segment.flow, segment.raw)]
+        if segment.ends or segment.resets:
+            actions += self._end(segment.flow, flow, now)
+        return actions
+
+    def expire(self, now: float) -> list[Action]:
+        """Give back what the target does not answer; forget what is over."""
+        actions: list[Action] = []
+        for key, flow in list(self.flows.items()):
+            age = now - flow.touched_at
+            if flow.state is FlowState.OFFERED and age > ACCEPT_TIMEOUT:
+                actions += self._give_up(key, flow, now)
+            elif age > self._find_life(flow):
+                self._drop(key, flow)
+        return actions
+
+    def _find_life(self, flow: AgentFlow) -> float:
+        if flow.state is FlowState.ACCEPTED:
+            return OPENING_TIMEOUT
+        if flow.state is FlowState.ENDED:
+            return ENDED_TIMEOUT
+        return self.idle_timeout
+
+    def _start_anew(self, restarted: bool) -> None:
+        if not restarted:
+            return
+        self.flows.clear()
+        self.busy = 0
+        self._silent_offers = 0
+        self._down_until = float('-inf')
+
+    def _is_uncertain(self, now: float) -> bool:
+        """Tell whether the target may hold flows from before the start."""
+        if now - self.started_at > self.flow_age_max:
+            return False
+        return self.target is None or self.target.born < self.started
+
+    def _take_offer(
+        self, sender: Address, offer: Offer, now: float
+    ) -> list[Action]:
+        segment = self.form.read_caller(offer.packet)
+        if segment is None or not segment.opens:
+            self.counts['packets_malformed'] += 1
+            return []
+        known = self.flows.get(segment.flow)
+        if known is not None and known.state is not FlowState.ENDED:
+            known.balancer = sender
+            return self._pass_on(segment, known, now)
+        reason = self._find_objection(offer, now)
+        if reason is not None:
+            return self._decline(sender, segment.flow, reason, now)
+        if known is not None:
+            self._drop(segment.flow, known)
+        flow = AgentFlow(FlowState.OFFERED, sender, now, now)
+        self.flows[segment.flow] = flow
+        self.busy += 1
+        self.counts['flows_offered'] += 1
+        return self._pass_on(segment, flow, now)
+
+    def _pass_on(
+        self, segment: Segment, flow: AgentFlow, now: float
+    ) -> list[Action]:
+        assert flow.balancer is not None
+        taken = Taken(segment.flow, self.describe_load(now))
+        return [DeliverToTarget(segment.raw), Send(flow.balancer, taken)]
+
+    def _find_objection(
+        self, offer: Offer, now: float
+    ) -> DeclineReason | None:
+        if offer.service != self.service:
+            return DeclineReason.WRONG_SERVICE
+        if self.find_state(now) is not TargetState.READY:
+            return DeclineReason.NOT_READY
+        wait = estimate_wait(self.describe_load(now), self.busy)
+        if wait + self.service_ms > offer.timeout_ms:
+            return DeclineReason.OVERLOADED
+        if wait > offer.patience_ms:
+            return DeclineReason.BUSY
+        return None
+
+    def _decline(
+        self, balancer: Address, flow: bytes, reason: DeclineReason, now: float
+    ) -> list[Action]:
+        self.counts['flows_declined'] += 1
+        fields = {
+            'flow': describe_flow(flow),
+            'reason': reason.value,
+            'flows': self.busy,
+            'slots': self.target.slots if self.target else 0,
+        }
+        declined = Declined(flow, reason, self.describe_load(now))
+        return [Log(FLOW_DECLINED, fields), Send(balancer, declined)]
+
+    def _take_carry(
+        self, sender: Address, carry: Carry, now: float
+    ) -> list[Action]:
+        segment = self.form.read_caller(carry.packet)
+        if segment is None:
+            self.counts['packets_malformed'] += 1
+            return []
+        flow = self.flows.get(segment.flow)
+        if carry.service != self.service:
+            flow = None
+        elif flow is None and not segment.opens and self._is_uncertain(now):
+            flow = self._adopt(segment.flow, sender, now)
+        elif flow is not None and self._is_elsewhere(flow, segment):
+            self._drop(segment.flow, flow)
+            flow = None
+        if flow is None:
+            return self._send_back(sender, segment, now)
+        return self._carry(sender, segment, flow, now)
+
+    def _carry(
+        self, sender: Address, segment: Segment, flow: AgentFlow, now: float
+    ) -> list[Action]:
+        flow.balancer = sender
+        actions: list[Action] = [DeliverToTarget(segment.raw)]
+        if segment.opens:
+            return actions
+        flow.touched_at = now
+        if flow.state in (FlowState.OFFERED, FlowState.ACCEPTED):
+            flow.state = FlowState.OPEN
+            opening_ms = round((now - flow.began_at) * 1000, 1)
+            fields = {
+                'flow': describe_flow(segment.flow),
+                'opening_ms': opening_ms,
+                'flows': self.busy,
+            }
+            actions.append(Log(FLOW_OPENED, fields))
+        if segment.length and flow.served_at is None:
+            flow.served_at = now
+        if segment.ends or segment.resets:
+            actions += self._end(segment.flow, flow, now)
+        return actions
+
+    def _is_elsewhere(self, flow: AgentFlow, segment: Segment) -> bool:
+        """Tell whether the caller has opened the flow at another target."""
+        if flow.state is not FlowState.ACCEPTED or segment.opens:
+            return False
+        ahead = (segment.acknowledged - flow.sequence) % SEQUENCE_RANGE
+        return ahead > 1
+
+    def _send_back(
+        self, sender: Address, segment: Segment, now: float
+    ) -> list[Action]:
+        self.counts['packets_sent_back'] += 1
+        if segment.opens:
+            reason = DeclineReason.NOT_READY
+            return self._decline(sender, segment.flow, reason, now)
+        return [Send(sender, Stray(segment.flow, segment.raw))]
+
+    def _take_find(
+        self, sender: Address, find: Find, now: float
+    ) -> list[Action]:
+        if find.service != self.service:
+            return []
+        flow = self.flows.get(find.flow)
+        if flow is None:
+            if not self._is_uncertain(now):
+                return []
+            return [Send(sender, Found(find.flow, False))]
+        ahead = (find.acknowledged - flow.sequence) % SEQUENCE_RANGE
+        if flow.state is FlowState.ACCEPTED and ahead > 1:
+            return []
+        return [Send(sender, Found(find.flow, True))]
+
+    def _adopt(
+        self, key: bytes, balancer: Address | None, now: float
+    ) -> AgentFlow:
+        """Know a flow that the target may hold from before the start."""
+        flow = AgentFlow(FlowState.OPEN, balancer, now, now)
+        self.flows[key] = flow
+        self.busy += 1
+        self.counts['flows_adopted'] += 1
+        return flow
+
+    def _take_returned(self, segment: Segment, now: float) -> list[Action]:
+        """Send a packet back that the target does not want."""
+        self.counts['packets_given_back'] += 1
+        flow = self.flows.get(segment.flow)
+        if flow is None:
+            return []
+        balancer = flow.balancer
+        self._drop(segment.flow, flow)
+        if balancer is None:
+            return []
+        if segment.opens:
+            reason = DeclineReason.GIVEN_BACK
+            return self._decline(balancer, segment.flow, reason, now)
+        packet = self.form.restore(segment.raw)
+        return [Send(balancer, Stray(segment.flow, packet))]
+
+    def _give_up(
+        self, key: bytes, flow: AgentFlow, now: float
+    ) -> list[Action]:
+        self._drop(key, flow)
+        self._silent_offers += 1
+        self.counts['offers_unanswered'] += 1
+        if self._silent_offers >= SILENT_OFFERS:
+            self._down_until = now + DOWN_PAUSE
+        assert flow.balancer is not None
+        reason = DeclineReason.UNANSWERED
+        return self._decline(flow.balancer, key, reason, now)
+
+    def _end(self, key: bytes, flow: AgentFlow, now: float) -> list[Action]:
+        if flow.state is FlowState.ENDED:
+            return []
+        flow.state = FlowState.ENDED
+        self.busy -= 1
+        took_ms = 0.0
+        if flow.served_at is not None:
+            took_ms = (now - flow.served_at) * 1000
+            self.service_ms += (took_ms - self.service_ms) * SERVICE_TIME_GAIN
+        fields = {
+            'flow': describe_flow(key),
+            'served_ms': round(took_ms, 1),
+            'age_ms': round((now - flow.began_at) * 1000, 1),
+            'flows': self.busy,
+        }
+        return [Log(FLOW_ENDED, fields)]
+
+    def _drop(self, key: bytes, flow: AgentFlow) -> None:
+        del self.flows[key]
+        if flow.state is not FlowState.ENDED:
+            self.busy -= 1
--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -0,0 +1,500 @@
+"""Decisions of a balancer: which agent gets a packet of a flow."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections import OrderedDict
+import enum
+import heapq
+from itertools import count
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..events import FLOW_LOST
+from ..events import FLOW_OFFERED
+from ..events import FLOW_REFUSED
+from ..events import FLOW_STRAYED
+from .actions import Log
+from .actions import ResetCaller
+from .actions import Send
+from .messages import Carry
+from .messages import Declined
+from .messages import DeclineReason
+from .messages import Find
+from .messages import Found
+from .messages import Load
+from .messages import Offer
+from .messages import Report
+from .messages import Stray
+from .messages import Taken
+from .placement import AgentView
+from .placement import choose_agent
+from .placement import is_heard
+from .routes import choose_service
+from .routes import list_services
+from .segments import describe_flow
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from ..addresses import Address
+    from .actions import Action
+    from .placement import Choice
+    from .routes import Route
+    from .routes import RouteTable
+    from .segments import Segment
+    from .segments import SegmentFormat
+
+#: Wait for an agent's answer to an offer, in seconds: several ways between
+#: zones and back, and well below the 200 ms after which a caller repeats.
+OFFER_TIMEOUT = 0.05
+
+#: Offers for one opening packet; each costs a target a new connection.
+OFFERS_MAX = 4
+
+#: Wait for the owner of a flow to answer, in seconds; as for an offer.
+FIND_TIMEOUT = 0.06
+
+#: Packets of one flow that wait for its owner; a caller has no more than
+#: 16 under way and sends what is dropped again.
+WAITING_MAX = 16
+
+#: Flows that are remembered; the least recently used are forgotten first.
+FLOWS_MAX = 65_536
+
+#: Silence after which an agent is forgotten, in seconds; flows of an agent
+#: that restarts are found again within.
+AGENT_TIMEOUT = 10.0
+
+
+class EntryState(enum.Enum):
+    """What a balancer knows of a flow."""
+
+    #: An agent was asked to open it.
+    OFFERED = 'offered'
+    #: An agent holds it.
+    TAKEN = 'taken'
+    #: Its owner is being asked for.
+    FINDING = 'finding'
+
+
+@attrs.define
+class FlowEntry:
+    """What a balancer remembers of a flow; it may be forgotten any time.
+
+    :param service: service that the flow belongs to
+    :param state: what is known
+    :param touched_at: when the last packet came
+    :param agent: who holds it or was asked to open it
+    :param opening: the opening packet
+    :param offers: how often it was offered
+    :param tried: agents that do not open it or do not hold it
+    :param waiting: packets that wait for the owner
+    :param possible: agents whose target may hold it
+    :param step: number of the newest offer or question
+    """
+
+    service: str
+    state: EntryState
+    touched_at: float
+    agent: Address | None = None
+    opening: Segment | None = None
+    offers: int = 0
+    tried: set[Address] = attrs.field(factory=set)
+    waiting: list[Segment] = attrs.field(factory=list)
+    possible: list[Address] = attrs.field(factory=list)
+    step: int = 0
+
+
+@attrs.define
+class Balancer:
+    """State of a balancer for pass-through services.
+
+    :param zone: its availability zone
+    :param form: form of the packets
+    :param random: settles ties
+    :param table: routes in force; ``None`` before the first
+    :param views: agents by service and address
+    :param flows: what is remembered of flows, least recently used first
+    :param counts: packets and decisions by name
+    """
+
+    zone: str
+    form: SegmentFormat
+    random: Random = attrs.field(factory=Random)
+    table: RouteTable | None = None
+    views: dict[str, dict[Address, AgentView]] = attrs.field(factory=dict)
+    flows: OrderedDict[bytes, FlowEntry] = attrs.field(factory=OrderedDict)
+    counts: Counter[str] = attrs.field(factory=Counter)
+    _services: dict[Address, str] = attrs.field(factory=dict)
+    _timers: list[tuple[float, int, bytes, int]] = attrs.field(factory=list)
+    _steps: Iterator[int] = attrs.field(factory=lambda: count(1))
+
+    def set_routes(self, table: RouteTable) -> bool:
+        """Put routes in force, unless newer ones are.
+
+        :returns: whether they are in force now
+        """
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        self.table = table
+        return True
+
+    def receive_packet(self, packet: bytes, now: float) -> list[Action]:
+        """Steer a caller's packet."""
+        segment = self.form.read_caller(packet)
+        if segment is None:
+            self.counts['packets_malformed'] += 1
+            return []
+        if self.table is None:
+            self.counts['packets_without_routes'] += 1
+            return []
+        route = self.table.find(segment.flow)
+        if route is None:
+            return self._turn_away(segment)
+        self.counts['packets'] += 1
+        if segment.opens:
+            return self._receive_opening(route, segment, now)
+        return self._receive_later(route, segment, now)
+
+    def receive_message(
+        self, sender: Address, message: object, now: float
+    ) -> list[Action]:
+        """Take what an agent says."""
+        match message:
+            case Report(load):
+                self._note_load(sender, load, now)
+            case Taken():
+                return self._take_taken(sender, message, now)
+            case Declined():
+                return self._take_declined(sender, message, now)
+            case Stray():
+                return self._take_stray(sender, message, now)
+            case Found():
+                return self._take_found(sender, message)
+            case _:
+                self.counts['messages_unexpected'] += 1
+        return []
+
+    def find_due(self) -> float | None:
+        """Return when :meth:`expire` has something to do."""
+        return self._timers[0][0] if self._timers else None
+
+    def expire(self, now: float) -> list[Action]:
+        """Go on where an answer has not come in time."""
+        actions: list[Action] = []
+        while self._timers and self._timers[0][0] <= now:
+            _, _, flow, step = heapq.heappop(self._timers)
+            entry = self.flows.get(flow)
+            if entry is None or entry.step != step:
+                continue
+            if entry.state is EntryState.OFFERED:
+                actions += self._give_up_offer(flow, entry, now)
+            elif entry.state is EntryState.FINDING:
+                actions += self._end_search(flow, entry)
+        return actions
+
+    def forget(self, now: float) -> None:
+        """Forget idle flows and agents that have fallen silent."""
+        idle = self.table.idle_timeout_ms / 1000 if self.table else 0.0
+        while self.flows:
+            flow, entry = next(iter(self.flows.items()))
+            if now - entry.touched_at <= idle:
+                break
+            del self.flows[flow]
+        silent = [
+            view.address
+            for view in self._list_all()
+            if now - view.heard_at > AGENT_TIMEOUT
+        ]
+        for address in silent:
+            del self.views[self._services.pop(address)][address]
+
+    def count_agents(self, now: float) -> int:
+        """Return how many agents are heard."""
+        return sum(is_heard(view, self.zone, now) for view in self._list_all())
+
+    def _list_all(self) -> Iterator[AgentView]:
+        return (
+            view for views in self.views.values() for view in views.values()
+        )
+
+    def _turn_away(self, segment: Segment) -> list[Action]:
+        """Refuse a flow without a route.
+
+        Only an opening packet is answered: the flow of any other may be open
+        by routes that are not known here yet.
+        """
+        self.counts['packets_without_route'] += 1
+        self.flows.pop(segment.flow, None)
+        if not segment.opens:
+            return []
+        return self._refuse(segment.flow, 'no route', 0)
+
+    def _refuse(self, flow: bytes, reason: str, offers: int) -> list[Action]:
+        self.counts['flows_refused'] += 1
+        fields = {
+            'flow': describe_flow(flow),
+            'reason': reason,
+            'offers': offers,
+            'version': self.table.version if self.table else 0,
+        }
+        return [Log(FLOW_REFUSED, fields), ResetCaller(flow)]
+
+    def _remember(self, flow: bytes, entry: FlowEntry) -> None:
+        self.flows[flow] = entry
+        self.flows.move_to_end(flow)
+        if len(self.flows) > FLOWS_MAX:
+            self.flows.popitem(last=False)
+
+    def _receive_opening(
+        self, route: Route, segment: Segment, now: float
+    ) -> list[Action]:
+        entry = self.flows.get(segment.flow)
+        repeated = segment.acknowledged > 0
+        if entry is None or not repeated:
+            service = choose_service(route, segment.flow)
+            entry = FlowEntry(service, EntryState.OFFERED, now)
+        entry.opening = segment
+        entry.touched_at = now
+        self._remember(segment.flow, entry)
+        if entry.state is EntryState.TAKEN and self._is_live(entry, now):
+            assert entry.agent is not None
+            return [Send(entry.agent, Carry(entry.service, segment.raw))]
+        if entry.state is EntryState.OFFERED and entry.offers:
+            return []
+        entry.offers = 0
+        return self._offer(route, segment.flow, entry, now)
+
+    def _is_live(self, entry: FlowEntry, now: float) -> bool:
+        if entry.agent is None:
+            return False
+        view = self.views.get(entry.service, {}).get(entry.agent)
+        return (
+            view is not None
+            and not view.suspect
+            and is_heard(view, self.zone, now)
+        )
+
+    def _offer(
+        self, route: Route, flow: bytes, entry: FlowEntry, now: float
+    ) -> list[Action]:
+        assert entry.opening is not None
+        views = self.views.get(entry.service, {})
+        choice = None
+        if entry.offers < OFFERS_MAX:
+            choice = choose_agent(
+                views.values(), route, self.zone, entry.tried, self.random, now
+            )
+        if choice is None:
+            self.flows.pop(flow, None)
+            return self._refuse(flow, 'no target takes it', entry.offers)
+        entry.offers += 1
+        entry.state = EntryState.OFFERED
+        entry.agent = choice.view.address
+        choice.view.offered.add(flow)
+        self.counts['offers'] += 1
+        self._await_answer(flow, entry, now + OFFER_TIMEOUT)
+        last = entry.offers == OFFERS_MAX
+        patience = float(route.timeout_ms) if last else choice.patience_ms
+        offer = Offer(
+            entry.service,
+            min(patience, float(route.timeout_ms)),
+            route.timeout_ms,
+            entry.opening.raw,
+        )
+        return [
+            Log(FLOW_OFFERED, self._describe_offer(flow, entry, choice, now)),
+            Send(choice.view.address, offer),
+        ]
+
+    def _describe_offer(
+        self, flow: bytes, entry: FlowEntry, choice: Choice, now: float
+    ) -> dict[str, object]:
+        view = choice.view
+        return {
+            'flow': describe_flow(flow),
+            'agent': str(view.address),
+            'offer': entry.offers,
+            'wait_ms': round(choice.wait_ms, 1),
+            'agent_flows': view.load.flows,
+            'agent_slots': view.load.slots,
+            'load_age_ms': round((now - view.heard_at) * 1000),
+            'version': self.table.version if self.table else 0,
+        }
+
+    def _await_answer(
+        self, flow: bytes, entry: FlowEntry, due: float
+    ) -> None:
+        entry.step = next(self._steps)
+        heapq.heappush(self._timers, (due, entry.step, flow, entry.step))
+
+    def _give_up_offer(
+        self, flow: bytes, entry: FlowEntry, now: float
+    ) -> list[Action]:
+        assert entry.agent is not None
+        self.counts['offers_unanswered'] += 1
+        view = self.views.get(entry.service, {}).get(entry.agent)
+        if view is not None:
+            view.offered.discard(flow)
+            view.suspect = True
+        return self._offer_again(flow, entry, now)
+
+    def _offer_again(
+        self, flow: bytes, entry: FlowEntry, now: float
+    ) -> list[Action]:
+        if entry.agent is not None:
+            entry.tried.add(entry.agent)
+        route = self.table.find(flow) if self.table else None
+        if route is None:
+            self.flows.pop(flow, None)
+            return self._refuse(flow, 'no route', entry.offers)
+        return self._offer(route, flow, entry, now)
+
+    def _take_taken(
+        self, sender: Address, message: Taken, now: float
+    ) -> list[Action]:
+        self._note_load(sender, message.load, now, message.flow)
+        entry = self.flows.get(message.flow)
+        if entry is not None and entry.agent == sender:
+            entry.state = EntryState.TAKEN
+        return []
+
+    def _take_declined(
+        self, sender: Address, message: Declined, now: float
+    ) -> list[Action]:
+        self._note_load(sender, message.load, now, message.flow)
+        self.counts['offers_declined'] += 1
+        entry = self.flows.get(message.flow)
+        if entry is None or entry.agent != sender or entry.opening is None:
+            return []
+        if entry.state is EntryState.FINDING:
+            return []
+        if message.reason is DeclineReason.BUSY:
+            entry.agent = None
+        return self._offer_again(message.flow, entry, now)
+
+    def _note_load(
+        self, sender: Address, load: Load, now: float, flow: bytes = b''
+    ) -> None:
+        view = self.views.get(load.service, {}).get(sender)
+        if view is None:
+            self._drop_view(sender)
+            view = AgentView(sender, load, now)
+            self.views.setdefault(load.service, {})[sender] = view
+            self._services[sender] = load.service
+        view.offered.discard(flow)
+        view.suspect = False
+        view.heard_at = now
+        known = (view.load.started, view.load.sequence)
+        if (load.started, load.sequence) >= known:
+            view.load = load
+
+    def _drop_view(self, address: Address) -> None:
+        former = self._services.pop(address, None)
+        if former is not None:
+            del self.views[former][address]
+
+    def _receive_later(
+        self, route: Route, segment: Segment, now: float
+    ) -> list[Action]:
+        entry = self.flows.get(segment.flow)
+        if entry is None:
+            return self._find_owner(route, segment, frozenset(), now)
+        entry.touched_at = now
+        self.flows.move_to_end(segment.flow)
+        if entry.state is EntryState.FINDING:
+            if len(entry.waiting) < WAITING_MAX:
+                entry.waiting.append(segment)
+            return []
+        if entry.agent is None:
+            return []
+        return [Send(entry.agent, Carry(entry.service, segment.raw))]
+
+    def _find_owner(
+        self,
+        route: Route,
+        segment: Segment,
+        tried: Iterable[Address],
+        now: float,
+    ) -> list[Action]:
+        entry = FlowEntry(
+            choose_service(route, segment.flow),
+            EntryState.FINDING,
+            now,
+            tried=set(tried),
+            waiting=[segment],
+        )
+        self._remember(segment.flow, entry)
+        self._await_answer(segment.flow, entry, now + FIND_TIMEOUT)
+        self.counts['owner_searches'] += 1
+        return [
+            Send(
+                view.address,
+                Find(service, segment.flow, segment.acknowledged),
+            )
+            for service in dict.fromkeys(list_services(route))
+            for view in self.views.get(service, {}).values()
+            if view.address not in entry.tried
+        ]
+
+    def _take_stray(
+        self, sender: Address, message: Stray, now: float
+    ) -> list[Action]:
+        self.counts['packets_strayed'] += 1
+        segment = self.form.read_caller(message.packet)
+        route = self.table.find(message.flow) if self.table else None
+        if segment is None or route is None:
+            return []
+        entry = self.flows.get(message.flow)
+        log = Log(
+            FLOW_STRAYED,
+            {'flow': describe_flow(message.flow), 'agent': str(sender)},
+        )
+        if entry is not None and entry.state is EntryState.FINDING:
+            if len(entry.waiting) < WAITING_MAX:
+                entry.waiting.append(segment)
+            return [log]
+        if entry is not None and entry.agent not in (None, sender):
+            assert entry.agent is not None
+            return [log, Send(entry.agent, Carry(entry.service, segment.raw))]
+        tried = {sender} if entry is None else entry.tried | {sender}
+        return [log, *self._find_owner(route, segment, tried, now)]
+
+    def _take_found(self, sender: Address, message: Found) -> list[Action]:
+        entry = self.flows.get(message.flow)
+        if entry is None or entry.state is not EntryState.FINDING:
+            return []
+        if not message.certain:
+            entry.possible.append(sender)
+            return []
+        return self._settle(entry, sender)
+
+    def _settle(self, entry: FlowEntry, agent: Address) -> list[Action]:
+        entry.state = EntryState.TAKEN
+        entry.agent = agent
+        entry.service = self._services.get(agent, entry.service)
+        waiting, entry.waiting = entry.waiting, []
+        return [
+            Send(agent, Carry(entry.service, segment.raw))
+            for segment in waiting
+        ]
+
+    def _end_search(self, flow: bytes, entry: FlowEntry) -> list[Action]:
+        possible = [
+            agent for agent in entry.possible if agent not in entry.tried
+        ]
+        if possible:
+            return self._settle(entry, possible[0])
+        self.counts['owners_not_found'] += 1
+        del self.flows[flow]
+        asked = len(self.views.get(entry.service, {}))
+        fields = {
+            'flow': describe_flow(flow),
+            'asked': asked,
+            'dropped': len(entry.waiting),
+        }
+        return [Log(FLOW_LOST, fields)]
--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
@@ -0,0 +1,191 @@
+"""How nodes find control instances and each other, from seeds alone."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..addresses import Address
+from ..addresses import parse_address
+from .messages import Hello
+from .messages import Node
+from .messages import Welcome
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+#: Role of a balancer in :class:`Hello`.
+BALANCER = 'balancer'
+
+#: Role of an agent in :class:`Hello`.
+AGENT = 'agent'
+
+#: Role of a control instance in :class:`Hello`.
+CONTROL = 'control'
+
+#: Time between two questions to control, in seconds: routes are in force
+#: everywhere within a fraction of the 3 s that are allowed.
+HELLO_INTERVAL = 0.4
+
+#: Silence after which a control instance no longer lists a node, in seconds:
+#: several of its questions lost.
+NODE_TIMEOUT = 3.0
+
+#: Time for which an agent keeps a balancer that no control instance lists,
+#: in seconds: longer than control needs to restart.
+LISTED_TIMEOUT = 12.0
+
+#: Silence after which a control instance that is no seed is forgotten, in
+#: seconds.
+CONTROL_TIMEOUT = 30.0
+
+#: Silence after which a node asks further control instances, in seconds:
+#: two answers lost.
+ANSWER_TIMEOUT = 1.0
+
+#: Age of a proof of a quorum from which a node asks further control
+#: instances, in milliseconds: a few of a leader's heartbeats.
+PROOF_AGE_MAX_MS = 1000
+
+#: Time between two questions to all control instances, in seconds.
+SURVEY_INTERVAL = 2.0
+
+
+@attrs.define
+class Directory:
+    """Nodes that a control instance has heard; nothing of it is durable.
+
+    :param node: the control instance itself
+    """
+
+    node: Node
+    _balancers: dict[Node, float] = attrs.field(factory=dict)
+    _relayed: dict[Node, float] = attrs.field(factory=dict)
+    _controls: dict[Node, float] = attrs.field(factory=dict)
+
+    def hear(self, hello: Hello, now: float) -> None:
+        """Note who is there."""
+        if hello.role == BALANCER:
+            self._balancers[hello.node] = now
+        elif hello.role == CONTROL and hello.node != self.node:
+            self._controls[hello.node] = now
+            self._relayed.update(dict.fromkeys(hello.balancers, now))
+
+    def forget(self, now: float) -> None:
+        """Forget who has fallen silent."""
+        for nodes in (self._balancers, self._relayed, self._controls):
+            silent = [
+                node for node, at in nodes.items() if now - at > NODE_TIMEOUT
+            ]
+            for node in silent:
+                del nodes[node]
+
+    def list_heard(self) -> tuple[Node, ...]:
+        """Return the balancers that were heard here."""
+        return tuple(self._balancers)
+
+    def list_balancers(self) -> tuple[Node, ...]:
+        """Return the balancers that were heard by any control instance."""
+        return tuple({**self._relayed, **self._balancers})
+
+    def list_controls(self) -> tuple[Node, ...]:
+        """Return the control instances, this one too."""
+        return (self.node, *self._controls)
+
+
+@attrs.define
+class Finder:
+    """What a node knows of control.
+
+    :param zone: availability zone of the node
+    :param seeds: control instances of the settings
+    """
+
+    zone: str
+    seeds: tuple[Address, ...]
+    _welcomes: dict[Address, tuple[Welcome, float]] = attrs.field(factory=dict)
+    _controls: dict[Address, float] = attrs.field(factory=dict)
+    _balancers: dict[Node, float] = attrs.field(factory=dict)
+    _surveyed_at: float = float('-inf')
+
+    def hear(self, sender: Address, welcome: Welcome, now: float) -> None:
+        """Take the answer of a control instance."""
+        self._welcomes[sender] = (welcome, now)
+        for address in _list_addresses(welcome.controls):
+            self._controls[address] = now
+        for node in welcome.balancers:
+            self._balancers[node] = now
+
+    def choose_controls(self, now: float) -> tuple[Address, ...]:
+        """Return the control instances to ask now.
+
+        Those of the own zone while they answer and have a quorum; else all.
+        """
+        self._forget(now)
+        near = tuple(
+            sender
+            for sender, (welcome, heard_at) in self._welcomes.items()
+            if welcome.node.zone == self.zone
+            and now - heard_at <= ANSWER_TIMEOUT
+            and welcome.proof_age_ms <= PROOF_AGE_MAX_MS
+        )
+        if near and now - self._surveyed_at < SURVEY_INTERVAL:
+            return near
+        self._surveyed_at = now
+        return self.list_controls()
+
+    def list_controls(self) -> tuple[Address, ...]:
+        """Return every control instance that is known."""
+        return tuple(dict.fromkeys((*self.seeds, *self._controls)))
+
+    def list_balancers(self) -> tuple[Node, ...]:
+        """Return the balancers that control has listed of late."""
+        return tuple(self._balancers)
+
+    def find_newest(self, now: float) -> Welcome | None:
+        """Return the newest answer with the highest version.
+
+        :returns: ``None`` when no control instance has answered of late
+        """
+        recent = [
+            welcome
+            for welcome, heard_at in self._welcomes.values()
+            if now - heard_at <= NODE_TIMEOUT
+        ]
+        return max(recent, key=lambda one: one.version, default=None)
+
+    def is_confirmed(self, version: int, now: float) -> bool:
+        """Tell whether a control instance with a quorum has no newer one."""
+        return any(
+            welcome.version <= version
+            and welcome.proof_age_ms <= PROOF_AGE_MAX_MS
+            and now - heard_at <= NODE_TIMEOUT
+            for welcome, heard_at in self._welcomes.values()
+        )
+
+    def _forget(self, now: float) -> None:
+        for known, timeout in (
+            (self._controls, CONTROL_TIMEOUT),
+            (self._balancers, LISTED_TIMEOUT),
+        ):
+            _drop_old(known, now - timeout)
+        gone = [
+            sender
+            for sender, (_, heard_at) in self._welcomes.items()
+            if now - heard_at > CONTROL_TIMEOUT
+        ]
+        for sender in gone:
+            del self._welcomes[sender]
+
+
+def _drop_old(known: dict[object, float], since: float) -> None:
+    for key in [key for key, at in known.items() if at < since]:
+        del known[key]
+
+
+def _list_addresses(nodes: Iterable[Node]) -> Iterable[Address]:
+    for node in nodes:
+        address = parse_address(node.address).value_or(None)
+        if address is not None:
+            yield address
--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/routes.py
@@ -0,0 +1,145 @@
+"""Routes of pass-through services, by version."""
+
+from __future__ import annotations
+
+from itertools import accumulate
+from typing import TYPE_CHECKING
+
+import attrs
+import xxhash
+
+from ..addresses import Address
+from ..addresses import pack_address
+from ..failures import Failure
+from .segments import find_entry
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+#: Reason of a failure: a route set is refused and never in force.
+INVALID = 'invalid'
+
+
+@attrs.frozen
+class Share:
+    """Part of a route's new flows that goes to one service.
+
+    :param service: name of the service
+    :param weight: its part, in relation to the other weights of the route
+    """
+
+    service: str
+    weight: int = 1
+
+
+@attrs.frozen
+class Route:
+    """Where the flows to one address go.
+
+    :param name: name of the route
+    :param entry: address that callers send to
+    :param shares: services that get its new flows
+    :param timeout_ms: how long a caller waits for its answer
+    :param target_latency_ms: within which an answer should come
+    :param priority: 0 is the highest
+    :param idempotent: whether a request may run more than once
+    """
+
+    name: str
+    entry: Address
+    shares: tuple[Share, ...]
+    timeout_ms: int
+    target_latency_ms: int = 0
+    priority: int = 0
+    idempotent: bool = False
+
+
+@attrs.frozen
+class RouteSet:
+    """All routes of one version.
+
+    :param version: number of the set; the highest is in force
+    :param services: names of the services
+    :param routes: the routes
+    :param idle_timeout_ms: after which an idle flow may be forgotten
+    """
+
+    version: int
+    services: tuple[str, ...]
+    routes: tuple[Route, ...]
+    idle_timeout_ms: int = 15_000
+
+
+@attrs.frozen
+class RouteTable:
+    """A route set, with its routes by the packed address of their entry."""
+
+    version: int
+    routes: dict[bytes, Route]
+    idle_timeout_ms: int
+
+    def find(self, flow: bytes) -> Route | None:
+        """Return the route of a flow; ``None`` when there is none."""
+        return self.routes.get(find_entry(flow))
+
+
+def build_table(routes: RouteSet) -> RouteTable:
+    """Return the table of a checked route set."""
+    return RouteTable(
+        routes.version,
+        {pack_address(route.entry): route for route in routes.routes},
+        routes.idle_timeout_ms,
+    )
+
+
+def check_routes(routes: RouteSet) -> tuple[Failure, ...]:
+    """Return every fault of a route set; none when it may be in force."""
+    entries: set[Address] = set()
+    failures: list[Failure] = []
+    if routes.version < 1:
+        failures.append(_fail('version', 'expected a number above 0'))
+    for route in routes.routes:
+        failures.extend(_check_route(route, frozenset(routes.services)))
+        if route.entry in entries:
+            reason = f'{route.entry} belongs to another route'
+            failures.append(_fail(route.name, reason))
+        entries.add(route.entry)
+    return tuple(failures)
+
+
+def choose_service(route: Route, flow: bytes) -> str:
+    """Return the service of a new flow; the same wherever it is asked."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    bounds = tuple(accumulate(share.weight for share in route.shares))
+    place = xxhash.xxh3_64_intdigest(flow) % bounds[-1]
+    chosen = (
+        share.service
+        for share, bound in zip(route.shares, bounds, strict=True)
+        if place < bound
+    )
+    return next(chosen)
+
+
+def list_services(route: Route) -> Iterable[str]:
+    """Return the services that a flow of a route may be at."""
+    return (share.service for share in route.shares)
+
+
+def _check_route(route: Route, services: frozenset[str]) -> Iterator[Failure]:
+    if route.timeout_ms < 1:
+        yield _fail(route.name, 'expected a timeout above 0')
+    if not route.shares:
+        yield _fail(route.name, 'names no service')
+    if any(share.weight < 0 for share in route.shares) or (
+        route.shares and not sum(share.weight for share in route.shares)
+    ):
+        yield _fail(route.name, 'expected weights with a sum above 0')
+    for share in route.shares:
+        if share.service not in services:
+            yield _fail(route.name, f'unknown service {share.service}')
+
+
+def _fail(peer: str, reason: str) -> Failure:
+    return Failure('check routes', peer, reason)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
@@ -55,6 +55,7 @@
     from pistachiohook_core.consensus.events import Action
     from pistachiohook_core.consensus.events import Event
     from pistachiohook_core.consensus.messages import Message
+    from pistachiohook_core.consensus.replica import Growth
     from pistachiohook_core.consensus.replica import Replica
     from pistachiohook_core.storage.files import FileOperations
 
@@ -125,6 +126,7 @@
     :param birth: random text, for the identity of a new data folder
     :param seed: seed of the election timeouts
     :param timing: durations that all instances share
+    :param growth: how the cluster follows instances that come and go
     :param clock: time, in seconds; never goes down
     """
 
@@ -137,6 +139,7 @@
     birth: str
     seed: int
     timing: Timing = attrs.field(factory=Timing)
+    growth: Growth | None = None
     clock: Callable[[], float] = time.monotonic
     failure: Failure | None = None
     applied: int = 0
@@ -241,6 +244,7 @@
             self.timing,
             self.seed,
             self.clock(),
+            self.growth,
         )
         self.report(
             REPLICA_STARTED, identity=saved.identity, index=self.applied
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/links.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/links.py
@@ -199,6 +199,7 @@
     :param codec: messages that are understood
     :param keys: keys that are valid
     :param report: logs an event
+    :param frames: frames that have come from the listener
     """
 
     name: str
@@ -206,6 +207,7 @@
     codec: Codec
     keys: LinkKeys
     report: Report
+    frames: int = 0
     _socket: Any = None
     _nonce: bytes = b''
     _session: _Session | None = None
@@ -235,10 +237,18 @@
         """Wait for the next good message."""
         while True:
             raw = await _receive_raw(self._socket)
+            self.frames += 1
             message = self._accept(raw.bytes)
             if message is not None:
                 return message
 
+    def ping(self) -> bool:
+        """Ask the listener for a frame, to see whether it still answers.
+
+        :returns: whether the question could be handed to the connection
+        """
+        return self._say_hello()
+
     async def drain(self) -> None:
         """Take what arrives and let it go, until the link is closed."""
         with contextlib.suppress(pynng.Closed):
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/main.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/main.py
@@ -10,7 +10,7 @@
 from returns.result import Failure as Failed
 
 from .composition import run_daemon
-from .composition import STATUS_BAD_SETTINGS
+from .running import STATUS_BAD_SETTINGS
 from .settings import read_settings
 
 app = cyclopts.App(
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/__init__.py
@@ -0,0 +1,1 @@
+"""Roles for pass-through services."""
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/asking.py
@@ -0,0 +1,44 @@
+"""Task that asks control what is new."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from pistachiohook_core.events import CONTROL_REGAINED
+from pistachiohook_core.events import CONTROL_UNREACHABLE
+from pistachiohook_core.passthrough.discovery import HELLO_INTERVAL
+from pistachiohook_core.passthrough.messages import Hello
+
+if TYPE_CHECKING:
+    from pistachiohook_core.passthrough.discovery import Finder
+    from pistachiohook_core.passthrough.messages import Node
+
+    from ..logs import Report
+    from .carrying import SendMessage
+
+
+async def ask_control(
+    role: str, node: Node, finder: Finder, send: SendMessage, report: Report
+) -> None:
+    """Say hello to control instances, until cancelled.
+
+    :param role: role of this process
+    :param node: what it says of itself
+    :param finder: knows whom to ask
+    :param send: sends a message
+    :param report: logs that control is lost, and that it is back
+    """
+    loop = asyncio.get_running_loop()
+    heard = True
+    while True:
+        now = loop.time()
+        asked = finder.choose_controls(now)
+        for address in asked:
+            send(address, Hello(role, node))
+        answers = finder.find_newest(now) is not None
+        if answers != heard:
+            heard = answers
+            event = CONTROL_REGAINED if heard else CONTROL_UNREACHABLE
+            report(event, peer=', '.join(map(str, asked)))
+        await asyncio.sleep(HELLO_INTERVAL)
--- /dev/null
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/carrying.py
@@ -0,0 +1,58 @@
+"""Messages about flows over a UDP socket."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pistachiohook_core.events import MESSAGE_UNREADABLE
+from pistachiohook_core.passthrough.messages import FLOW_CODEC
+from returns.result import Failure as Failed
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+    from pistachiohook_core.addresses import Address
+
+    from ..datagrams import DatagramSocket
+    from ..logs import Report
+
+    #: Sends a message about flows; a full buffer drops it.
+    SendMessage = Callable[[Address, object], None]
+
+    #: Takes a message about flows and who sent it.
+    TakeMessage = Callable[[Address, Any], None]
+
+
+def build_sender(link: DatagramSocket) -> SendMessage:
+    """Return what sends messages over a socket."""
+
+    def send(address: Address, message: object) -> None:
+        link.send(FLOW_CODEC.encode(message), address)
+
+    return send
+
+
+def build_receiver(
+    take: TakeMessage, report: Report
+) -> Callable[[bytes, Address], None]:
+    """Return what decodes the datagrams of a socket.
+
+    :param take: takes each message
+    :param report: logs what can't be decoded
+    """
+
+    def receive(data: bytes, sender: Address) -> None:
+        decoded = FLOW_CODEC.decode(data, str(sender))
+        if isinstance(decoded, Failed):
+            failure = decoded.failure()
+            report(
+                MESSAGE_UNREADABLE,
+                step=failure.step,
+                peer=failure.peer,
+                reason=failure.reason,
+            )
+            return
+        take(sender, decoded.unwrap())
+
+    return receive
