Test pass-through flows on a virtual network, and the platform's formats

One test failed first: an opening packet whose first messages were lost was refused, since each unanswered offer struck its agent off. An agent that is still heard is now offered the flow again, last.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PIP := $(BIN)/python -m pip --quiet --disable-pip-version-check
 STAMP := $(VENV)/.installed
-SOURCES := $(wildcard packages/*/src) tools
+SOURCES := $(wildcard packages/*/src) platform tools
 PACKAGES := $(dir $(wildcard packages/*/pyproject.toml))
 empty :=
 space := $(empty) $(empty)
@@ -58,10 +58,10 @@
 	$(BIN)/python tools/measure_blocking.py
 
 check: setup
-	$(BIN)/ruff format --check packages tests tools
-	$(BIN)/ruff check packages tests tools
-	$(BIN)/flake8 packages tests tools
-	$(BIN)/mypy packages/*/src tools
+	$(BIN)/ruff format --check packages platform tests tools
+	$(BIN)/ruff check packages platform tests tools
+	$(BIN)/flake8 packages platform tests tools
+	$(BIN)/mypy packages/*/src platform tools
 
 explore-consensus: setup
 	$(BIN)/python tools/explore_consensus.py --seeds $(or $(SEEDS),20)
@@ -71,8 +71,8 @@
 	    $(BIN)/python tools/scenarios.py tests/core/membership
 
 format: setup
-	$(BIN)/ruff format packages tests tools
-	$(BIN)/ruff check --fix packages tests tools
+	$(BIN)/ruff format packages platform tests tools
+	$(BIN)/ruff check --fix packages platform tests tools
 
 measure-steering: setup
 	$(BIN)/python tools/measure_steering.py
--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -65,9 +65,7 @@
 BALANCER_HEALTHY = Event(
     2002, Level.INFO, 'The balancer reports itself healthy.'
 )
-FLOW_OFFERED = Event(
-    2101, Level.INFO, 'A new flow was offered to an agent.'
-)
+FLOW_OFFERED = Event(2101, Level.INFO, 'A new flow was offered to an agent.')
 FLOW_REFUSED = Event(
     2102,
     Level.WARNING,
@@ -198,9 +196,7 @@
     'No answer from a control instance; the node turns to the next.',
     'Check the control instance that is named as peer.',
 )
-CONTROL_REGAINED = Event(
-    5004, Level.INFO, 'A control instance answers again.'
-)
+CONTROL_REGAINED = Event(5004, Level.INFO, 'A control instance answers again.')
 LINK_KEY_REFUSED = Event(
     5002,
     Level.WARNING,
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -326,9 +326,7 @@
             'version': self.table.version if self.table else 0,
         }
 
-    def _await_answer(
-        self, flow: bytes, entry: FlowEntry, due: float
-    ) -> None:
+    def _await_answer(self, flow: bytes, entry: FlowEntry, due: float) -> None:
         entry.step = next(self._steps)
         heapq.heappush(self._timers, (due, entry.step, flow, entry.step))
 
@@ -341,6 +339,7 @@
         if view is not None:
             view.offered.discard(flow)
             view.suspect = True
+        entry.agent = None
         return self._offer_again(flow, entry, now)
 
     def _offer_again(
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import attrs
 
@@ -15,6 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+_Key = TypeVar('_Key')
+
 #: Role of a balancer in :class:`Hello`.
 BALANCER = 'balancer'
 
@@ -165,11 +168,8 @@
         )
 
     def _forget(self, now: float) -> None:
-        for known, timeout in (
-            (self._controls, CONTROL_TIMEOUT),
-            (self._balancers, LISTED_TIMEOUT),
-        ):
-            _drop_old(known, now - timeout)
+        _drop_old(self._controls, now - CONTROL_TIMEOUT)
+        _drop_old(self._balancers, now - LISTED_TIMEOUT)
         gone = [
             sender
             for sender, (_, heard_at) in self._welcomes.items()
@@ -179,7 +179,7 @@
             del self._welcomes[sender]
 
 
-def _drop_old(known: dict[object, float], since: float) -> None:
+def _drop_old(known: dict[_Key, float], since: float) -> None:
     for key in [key for key, at in known.items() if at < since]:
         del known[key]
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
@@ -95,13 +95,14 @@
 
     The shortest expected wait wins, where a target in another zone counts as
     if it had a wait of its own; equal waits are settled by the share of the
-    slots in use. Answers the load of a crest in one zone while another zone
-    has free slots.
+    slots in use. An agent that has let an offer go unanswered comes last: the
+    message may have been lost. Answers the load of a crest in one zone while
+    another zone has free slots.
 
     :param views: agents of the service
     :param route: route of the flow
     :param zone: availability zone of the balancer
-    :param tried: agents that have declined the flow or not answered
+    :param tried: agents that have declined the flow
     :param random: settles ties
     :param now: time, in seconds
     :returns: the choice; ``None`` when no target may take the flow
@@ -110,6 +111,7 @@
     ranked = sorted(
         (
             (
+                view.suspect,
                 _price(view, zone, latency * WAIT_SHARE),
                 _fill(view),
                 random.random(),
@@ -118,16 +120,16 @@
             for view in views
             if view.address not in tried and _is_open(view, zone, now)
         ),
-        key=lambda rank: rank[:3],
+        key=lambda rank: rank[:4],
     )
     if not ranked:
         return None
-    best = ranked[0]
-    wait = estimate_wait(best[3].load, _count_flows(best[3]))
-    if len(ranked) == 1:
-        return Choice(best[3], wait, float('inf'))
-    spare = ranked[1][0] - best[0]
-    return Choice(best[3], wait, wait + spare + PATIENCE_MARGIN_MS)
+    best = ranked[0][4]
+    wait = estimate_wait(best.load, _count_flows(best))
+    if len(ranked) == 1 or ranked[1][0] > ranked[0][0]:
+        return Choice(best, wait, float('inf'))
+    spare = ranked[1][1] - ranked[0][1]
+    return Choice(best, wait, wait + spare + PATIENCE_MARGIN_MS)
 
 
 def is_heard(view: AgentView, zone: str, now: float) -> bool:
@@ -138,7 +140,7 @@
 
 
 def _is_open(view: AgentView, zone: str, now: float) -> bool:
-    ready = view.load.state is TargetState.READY and not view.suspect
+    ready = view.load.state is TargetState.READY
     return ready and is_heard(view, zone, now)
 
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
@@ -231,5 +231,3 @@
         partial(ask_control, BALANCER, itself, finder, send, report),
     )
     return role
-
-
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -273,7 +273,9 @@
         log_function=lambda _: None,
     )
     server = HTTPServer(routes)
-    server.add_sockets(bind_sockets(settings.routes.port, settings.routes.host))
+    server.add_sockets(
+        bind_sockets(settings.routes.port, settings.routes.host)
+    )
     receive = build_receiver(role.take_message, report)
     supervisor.supervise('replicator', replicator.run)
     supervisor.supervise(
--- /dev/null
+++ b/tests/core/passthrough/placing.feature
@@ -0,0 +1,35 @@
+Feature: New flows go where callers are answered soonest
+
+  Scenario: The own zone comes first
+    Given balancers in zones "x" and "y" with 2 agents each
+    When 3 callers a zone call every 40 ms for 2 s
+    Then all calls are answered and none crosses zones
+
+  Scenario: A crest in one zone goes to free slots of the other
+    Given balancers in zones "x" and "y" with 2 agents each
+    When 12 callers of zone "x" call every 40 ms for 2 s
+    Then 98 of 100 calls are answered within 275 ms
+    And some calls have crossed zones
+
+  Scenario: Balancers that do not know of each other share the slots
+    Given 4 balancers in zone "x" with 4 agents
+    When callers load 70 of 100 slots for 5 s
+    Then 98 of 100 calls are answered within 275 ms
+    And the busiest target has run at most 1.25 times the mean
+
+  Scenario Outline: A wait is estimated from what is ahead
+    Given a target with <slots> slots, <flows> flows and 50 ms a flow
+    Then one more flow waits <wait> ms
+
+    Examples:
+      | slots | flows | wait |
+      | 4     | 0     | 0    |
+      | 4     | 3     | 0    |
+      | 4     | 4     | 12.5 |
+      | 2     | 5     | 100  |
+
+  Scenario: What can't be answered in time is refused at once
+    Given balancers in zones "x" and "y" with 1 agents each
+    When 600 callers of zone "x" call at once
+    Then every call is answered or refused
+    And each refused call was refused within 300 ms and has not run
--- /dev/null
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -0,0 +1,407 @@
+"""Steps on flows over a virtual network."""
+
+from __future__ import annotations
+
+from random import Random
+
+from behave import given
+from behave import then
+from behave import when
+from mesh import encode
+from mesh import Mesh
+from pistachiohook_core.passthrough.messages import Load
+from pistachiohook_core.passthrough.messages import TargetState
+from pistachiohook_core.passthrough.placement import estimate_wait
+
+
+def settle(mesh):
+    """Let the agents report for the first time."""
+    mesh.run(0.5)
+
+
+def find_holder(mesh, attempt):
+    return next(
+        name
+        for name, target in mesh.targets.items()
+        if attempt.flow in target.flows
+    )
+
+
+@given(
+    'balancers "{one}" and "{two}" and agents "{three}" and "{four}" in'
+    ' zone "{zone}"'
+)
+def build(context, one, two, three, four, zone):
+    context.mesh = Mesh()
+    for name in (one, two):
+        context.mesh.add_balancer(name, zone)
+    for name in (three, four):
+        context.mesh.add_agent(name, zone)
+    settle(context.mesh)
+
+
+@given('the routes lead to service "{service}"')
+def lead(context, service):
+    context.mesh.set_routes(service)
+
+
+@when('a caller calls through "{balancer}"')
+def call(context, balancer):
+    context.calls = [context.mesh.call(balancer)]
+    context.mesh.run(3)
+
+
+@when('{number:d} callers call through "{balancer}"')
+def call_many(context, number, balancer):
+    context.calls = []
+    for _ in range(number):
+        context.calls.append(context.mesh.call(balancer))
+        context.mesh.run(0.06)
+    context.mesh.run(3)
+
+
+@given('a caller has opened a flow of {length:d} ms through "{balancer}"')
+def open_flow(context, length, balancer):
+    context.flow = context.mesh.call(balancer, length / 1000)
+    context.calls = [context.flow]
+    context.mesh.run(0.05)
+    assert context.flow.opened_at is not None
+    context.holder = find_holder(context.mesh, context.flow)
+
+
+@when('its packets go through "{balancer}"')
+def move(context, balancer):
+    context.flow.balancer = balancer
+    context.mesh.go_on(context.flow, 0, 0)
+
+
+@when('the agent that holds it starts anew')
+def restart_agent(context):
+    mesh = context.mesh
+    del mesh.agents[context.holder]
+    mesh.run(0.1)
+    mesh.start_agent(context.holder)
+    mesh.go_on(context.flow, 0, 0)
+
+
+@given('agent "{name}" has fallen silent just now')
+def silence_agent(context, name):
+    context.mesh.cut.add(name)
+
+
+@given('the target of "{name}" has fallen silent just now')
+def silence_target(context, name):
+    context.mesh.targets[name].alive = False
+
+
+@when('its target says that it is leaving')
+def leave(context):
+    context.mesh.beat(context.holder, leaving=True)
+
+
+@given('the target of "{name}" has started anew at {born:d}')
+def restart_target(context, name, born):
+    context.mesh.beat(name, born)
+
+
+@when('its target starts anew at {born:d}')
+def restart_own_target(context, born):
+    context.mesh.targets[context.holder].flows.clear()
+    context.mesh.beat(context.holder, born)
+
+
+@when(
+    'it is announced that the target of "{name}" born at {born:d} is leaving'
+)
+def announce_late(context, name, born):
+    context.mesh.beat(name, born, sequence=10**6, leaving=True)
+
+
+@then('the target of "{name}" takes new flows')
+def takes(context, name):
+    agent = context.mesh.agents[name]
+    assert agent.find_state(context.mesh.now) is TargetState.READY
+
+
+@then('the agent that held it counts {number:d} flows')
+def count_flows(context, number):
+    agent = context.mesh.agents[context.holder]
+    assert agent.busy == number
+    assert len(agent.flows) == number
+
+
+@when('the address of its agent goes to service "{service}"')
+def reuse(context, service):
+    mesh = context.mesh
+    mesh.targets[context.holder].flows.clear()
+    mesh.start_agent(context.holder, service)
+    mesh.beat(context.holder, born=10**6)
+    context.seen = mesh.targets[context.holder].foreign
+    mesh.run(0.01)
+
+
+@when('the caller sends a further packet')
+def send_further(context):
+    context.mesh.go_on(context.flow, 0, 10)
+    context.mesh.run(0.3)
+
+
+@then('the target of service "{service}" has seen no packet')
+def saw_none(context, service):
+    target = context.mesh.targets[context.holder]
+    assert target.foreign == context.seen
+    assert not target.flows
+
+
+@given('the route is dropped')
+@when('the route is dropped')
+def drop_route(context):
+    context.mesh.set_routes()
+
+
+@then('the open flow is not reset')
+def not_reset(context):
+    context.mesh.run(1)
+    assert context.flow.outcome != 'broken', context.flow
+
+
+@then('a new call through "{balancer}" is refused within {bound:d} ms')
+def refuse_new(context, balancer, bound):
+    context.calls = [context.mesh.call(balancer)]
+    context.mesh.run(2)
+    check_refused(context, bound)
+
+
+@when('a packet of an unknown flow comes to "{balancer}"')
+def receive_unknown(context, balancer):
+    packet = encode(b'u' * 12, 0, 1, 1, 5)
+    found = context.mesh.balancers[balancer].receive_packet(packet, 1.0)
+    context.actions = found
+
+
+@then('nothing is sent')
+def sent_nothing(context):
+    assert context.actions == [], context.actions
+
+
+@given('the first message from "{balancer}" to each agent is lost')
+def lose_first(context, balancer):
+    seen = set()
+
+    def is_lost(sender, receiver):
+        first = sender == balancer and receiver not in seen
+        if sender == balancer:
+            seen.add(receiver)
+        return first
+
+    context.mesh.lost = is_lost
+
+
+@given('the targets of "{one}" and "{two}" accept after {wait:d} ms')
+def accept_slowly(context, one, two, wait):
+    context.mesh.accept_s = wait / 1000
+
+
+@when('{number:d} random packets come to "{balancer}" and to "{agent}"')
+def receive_random(context, number, balancer, agent):
+    random = Random(1)
+    context.actions = []
+    for _ in range(number):
+        packet = random.randbytes(random.randrange(27))
+        if len(packet) == 23:
+            continue
+        mesh = context.mesh
+        context.actions += mesh.balancers[balancer].receive_packet(packet, 1)
+        context.actions += mesh.agents[agent].receive_packet(packet, 1)
+
+
+@then('the call is answered within {bound:d} ms')
+@then('each call is answered within {bound:d} ms')
+def check_answered(context, bound):
+    context.mesh.run(3)
+    for attempt in context.calls:
+        assert attempt.outcome == 'answered', attempt
+        took = (attempt.ended_at - attempt.began_at) * 1000
+        assert took <= bound, (took, attempt)
+
+
+@then('the call is refused within {bound:d} ms')
+def check_refused(context, bound):
+    for attempt in context.calls:
+        assert attempt.outcome == 'refused', attempt
+        took = (attempt.ended_at - attempt.began_at) * 1000
+        assert took <= bound, took
+
+
+@then('the open flow is answered')
+def open_answered(context):
+    assert context.flow.outcome == 'answered', context.flow
+
+
+@then('its target has run it once')
+@then('it has run once in all')
+def ran_once(context):
+    flow = context.calls[0].flow
+    runs = [target.runs[flow] for target in context.mesh.targets.values()]
+    assert sum(runs) == 1, runs
+
+
+@then('its target has run {number:d} request')
+def ran_number(context, number):
+    assert context.mesh.targets[context.holder].runs.total() == number
+
+
+@then('the target of "{name}" has run none')
+def ran_none(context, name):
+    assert not context.mesh.targets[name].runs
+
+
+@then('no other target has seen a packet of it')
+def saw_no_packet(context):
+    others = [
+        target
+        for name, target in context.mesh.targets.items()
+        if name != context.holder
+    ]
+    assert not any(target.foreign for target in others)
+
+
+@given('balancers in zones "{one}" and "{two}" with {agents:d} agents each')
+def build_zones(context, one, two, agents):
+    context.mesh = Mesh()
+    for zone in (one, two):
+        context.mesh.add_balancer(f'b{zone}', zone)
+        for number in range(agents):
+            context.mesh.add_agent(f'a{zone}{number}', zone, slots=4)
+    context.mesh.set_routes('s')
+    settle(context.mesh)
+
+
+@given('{balancers:d} balancers in zone "{zone}" with {agents:d} agents')
+def build_zone(context, balancers, zone, agents):
+    context.mesh = Mesh()
+    for number in range(balancers):
+        context.mesh.add_balancer(f'b{number}', zone)
+    for number in range(agents):
+        context.mesh.add_agent(f'a{number}', zone, slots=4)
+    context.mesh.set_routes('s')
+    settle(context.mesh)
+
+
+@when('{callers:d} callers a zone call every {pause:d} ms for {length:d} s')
+def load_zones(context, callers, pause, length):
+    load(context, ('bx', 'by'), callers, pause, length)
+
+
+@when(
+    '{callers:d} callers of zone "{zone}" call every {pause:d} ms for'
+    ' {length:d} s'
+)
+def load_zone(context, callers, zone, pause, length):
+    load(context, (f'b{zone}',), callers, pause, length)
+
+
+def load(context, balancers, callers, pause, length):
+    context.calls = []
+    random = Random(1)
+    for _ in range(length * 1000 // pause):
+        for balancer in balancers:
+            for _ in range(callers):
+                work = random.expovariate(20)
+                context.calls.append(context.mesh.call(balancer, work))
+        context.mesh.run(pause / 1000)
+    context.mesh.run(5)
+
+
+@when('callers load {part:d} of 100 slots for {length:d} s')
+def load_slots(context, part, length):
+    mesh = context.mesh
+    random = Random(2)
+    slots = sum(target.slots for target in mesh.targets.values())
+    rate = slots * part / 100 / 0.05
+    context.calls = []
+    end = mesh.now + length
+    names = list(mesh.balancers)
+    while mesh.now < end:
+        work = random.expovariate(20)
+        context.calls.append(mesh.call(random.choice(names), work))
+        mesh.run(random.expovariate(rate))
+    mesh.run(5)
+
+
+@when('{callers:d} callers of zone "{zone}" call at once')
+def call_at_once(context, callers, zone):
+    mesh = context.mesh
+    context.calls = [mesh.call(f'b{zone}') for _ in range(callers)]
+    mesh.run(10)
+
+
+@then('all calls are answered and none crosses zones')
+def none_crosses(context):
+    assert all(one.outcome == 'answered' for one in context.calls)
+    assert not list_crossing(context)
+
+
+@then('some calls have crossed zones')
+def some_cross(context):
+    assert list_crossing(context)
+
+
+def list_crossing(context):
+    mesh = context.mesh
+    return [
+        one
+        for one in context.calls
+        if mesh.zones[one.balancer] != mesh.zones[find_holder(mesh, one)]
+    ]
+
+
+@then('{part:d} of 100 calls are answered within {bound:d} ms')
+def check_part(context, part, bound):
+    good = [
+        one
+        for one in context.calls
+        if one.outcome == 'answered'
+        and (one.ended_at - one.began_at) * 1000 <= bound
+    ]
+    assert len(good) * 100 >= part * len(context.calls), (
+        len(good),
+        len(context.calls),
+    )
+
+
+@then('the busiest target has run at most {bound:f} times the mean')
+def check_imbalance(context, bound):
+    runs = [one.runs.total() for one in context.mesh.targets.values()]
+    assert max(runs) <= bound * sum(runs) / len(runs), runs
+
+
+@given('a target with {slots:d} slots, {flows:d} flows and {work:d} ms a flow')
+def set_load(context, slots, flows, work):
+    context.load = Load(
+        1, 1, 's', 'x', TargetState.READY, slots, flows, float(work)
+    )
+
+
+@then('one more flow waits {wait:g} ms')
+def check_wait(context, wait):
+    load = context.load
+    assert estimate_wait(load, load.flows) == wait
+
+
+@then('every call is answered or refused')
+def check_ended(context):
+    outcomes = {one.outcome for one in context.calls}
+    assert outcomes <= {'answered', 'refused'}, outcomes
+
+
+@then('each refused call was refused within {bound:d} ms and has not run')
+def check_refusals(context, bound):
+    refused = [one for one in context.calls if one.outcome == 'refused']
+    assert refused
+    for one in refused:
+        assert (one.ended_at - one.began_at) * 1000 <= bound, one
+        runs = [
+            target.runs[one.flow] for target in context.mesh.targets.values()
+        ]
+        assert not any(runs)
