--- /dev/null
+++ b/tests/core/consensus/steps/growth_steps.py
@@ -0,0 +1,248 @@
+"""Steps on clusters that follow their instances."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+from pistachiohook_core.consensus.replica import Role
+from virtual_cluster import Cluster
+
+#: Names in the order in which instances start; some are spare.
+NAMES = 'abcdefgh'
+
+
+def build(size, tolerance):
+    cluster = Cluster(tuple(NAMES), seeds=tuple('abc'), tolerance=tolerance)
+    for number, name in enumerate(NAMES):
+        cluster.instances[name].clock_offset = number * 1000.0
+    return cluster
+
+
+def list_running(cluster):
+    return [
+        name
+        for name in cluster.names
+        if cluster.instances[name].process is not None
+    ]
+
+
+def list_voting(cluster):
+    """Return the instances that run and vote."""
+    return [
+        name
+        for name in list_running(cluster)
+        if cluster.instances[name].identity in cluster.voters()
+    ]
+
+
+def wait(cluster, seconds, condition):
+    end = cluster.now + seconds
+    while cluster.now < end:
+        if condition():
+            return
+        cluster.run(0.2)
+    raise AssertionError(f'not within {seconds} s: {cluster.voters()}')
+
+
+@given('{size:d} instances with 3 seeds, tolerating the loss of {tolerance:d}')
+def found(context, size, tolerance):
+    context.cluster = build(size, tolerance)
+    context.proposed = []
+    for name in NAMES[:size]:
+        context.cluster.start(name)
+    votes = min(size, 2 * tolerance + 1)
+    wait(
+        context.cluster,
+        20,
+        lambda: len(list_voting(context.cluster)) == votes,
+    )
+    context.cluster.run(1)
+
+
+@given(
+    '{size:d} instances with 3 seeds, tolerating the loss of'
+    ' {tolerance:d}, of which {running:d} run'
+)
+def found_some(context, size, tolerance, running):
+    context.cluster = build(size, tolerance)
+    context.later = NAMES[running:size]
+    for name in NAMES[:running]:
+        context.cluster.start(name)
+    context.cluster.run(5)
+
+
+@when('the others start')
+def start_later(context):
+    for name in context.later:
+        context.cluster.start(name)
+
+
+@then('no change is accepted')
+def accept_none(context):
+    cluster = context.cluster
+    for name in list_running(cluster):
+        cluster.propose(name)
+    cluster.run(3)
+    assert not cluster.accepted
+
+
+def is_accepted(cluster):
+    """Propose to the leader and tell whether that is accepted."""
+    leader = cluster.find_leader()
+    if not leader:
+        return False
+    number = cluster.propose(leader)
+    cluster.run(0.5)
+    return number in cluster.accepted
+
+
+@then('a change is accepted within {seconds:d} seconds')
+@then('within {seconds:d} seconds a leader accepts a further change')
+def accept_within(context, seconds):
+    wait(context.cluster, seconds, lambda: is_accepted(context.cluster))
+    context.cluster.run(1)
+
+
+@then('{voters:d} of them vote, and the others learn')
+def check_voters(context, voters):
+    cluster = context.cluster
+    cluster.run(3)
+    assert len(cluster.voters()) == voters, cluster.voters()
+    leader = cluster.instances[cluster.find_leader()].process.replica
+    members = leader.membership.members
+    assert len(members) == len(list_running(cluster)), members
+
+
+@then('every instance holds a change that is proposed')
+def check_held(context):
+    cluster = context.cluster
+    command = b'further %d' % len(cluster.accepted)
+    cluster.propose(cluster.find_leader(), command)
+    cluster.run(2)
+    for name in list_running(cluster):
+        assert command in cluster.commands(name), name
+
+
+@when('all lose their disks, and are not at their first start')
+def lose_all(context):
+    cluster = context.cluster
+    cluster.founding = False
+    running = list_running(cluster)
+    for name in running:
+        cluster.lose_disk(name)
+    for name in running:
+        cluster.start(name)
+
+
+@then('there is no leader after {seconds:d} seconds')
+def check_no_leader(context, seconds):
+    context.cluster.run(seconds)
+    roles = [
+        context.cluster.instances[name].process.replica.role
+        for name in list_running(context.cluster)
+    ]
+    assert Role.LEADER not in roles
+
+
+@when('a voter is gone for good')
+def lose_voter(context):
+    cluster = context.cluster
+    context.cluster.founding = False
+    cluster.lose_disk(list_voting(cluster)[-1])
+
+
+@when('a new instance starts at another address')
+def start_new(context):
+    start_spare(context.cluster)
+
+
+def start_spare(cluster):
+    started = [
+        name for name in cluster.names if cluster.instances[name].births
+    ]
+    cluster.start(cluster.names[len(started)])
+
+
+@then('within {seconds:d} seconds {voters:d} of the instances that run vote')
+def check_voting(context, seconds, voters):
+    cluster = context.cluster
+    wait(cluster, seconds, lambda: len(list_voting(cluster)) == voters)
+    assert len(cluster.voters()) == voters
+    cluster.run(1)
+
+
+@when('a further voter is lost')
+def lose_further(context):
+    cluster = context.cluster
+    cluster.kill(list_voting(cluster)[0])
+    cluster.run(5)
+
+
+@when('a voter is cut off for {seconds:d} seconds')
+def cut_off(context, seconds):
+    cluster = context.cluster
+    followers = [
+        name for name in list_voting(cluster) if name != cluster.find_leader()
+    ]
+    cluster.split(followers[0])
+    cluster.run(seconds)
+
+
+@when('the cut heals')
+def heal(context):
+    context.cluster.heal()
+
+
+@then('within {seconds:d} seconds every instance is a member')
+def check_members(context, seconds):
+    cluster = context.cluster
+
+    def are_members():
+        leader = cluster.find_leader()
+        replica = cluster.instances[leader].process.replica
+        identities = {
+            cluster.instances[name].identity for name in list_running(cluster)
+        }
+        return set(replica.membership.members) == identities
+
+    wait(cluster, seconds, are_members)
+
+
+@when('two seeds are replaced by new instances, one after the other')
+def replace_seeds(context):
+    cluster = context.cluster
+    cluster.founding = False
+    for name in 'ab':
+        cluster.lose_disk(name)
+        start_spare(cluster)
+        cluster.run(8)
+
+
+@when(
+    'a change is accepted, {lost:d} voters that have it lose their disks'
+    ' and the rest restart'
+)
+def accept_and_lose(context, lost):
+    cluster = context.cluster
+    cluster.founding = False
+    number = cluster.propose(cluster.find_leader())
+    while number not in cluster.accepted:
+        if cluster.flying:
+            cluster.deliver()
+        else:
+            cluster.tick()
+    running = list_running(cluster)
+    index = cluster.accepted[number][0]
+    holding = [
+        name
+        for name in list_voting(cluster)
+        if cluster.instances[name].process.replica.log.last_index >= index
+    ]
+    cluster.flying.clear()
+    for name in running:
+        cluster.kill(name)
+    for name in holding[:lost]:
+        cluster.lose_disk(name)
+    for name in running:
+        cluster.start(name)
--- a/tests/core/consensus/virtual_cluster.py
+++ b/tests/core/consensus/virtual_cluster.py
@@ -26,6 +26,7 @@
 from pistachiohook_core.consensus.raft import handle
 from pistachiohook_core.consensus.reading import measure_freshness
 from pistachiohook_core.consensus.replica import create_replica
+from pistachiohook_core.consensus.replica import Growth
 from pistachiohook_core.consensus.replica import Replica
 from pistachiohook_core.consensus.replica import Role
 from pistachiohook_core.consensus.replica import Timing
@@ -70,6 +71,9 @@
 
     names: tuple[str, ...]
     seed: int = 0
+    seeds: tuple[str, ...] = ()
+    tolerance: int | None = None
+    founding: bool = True
     now: float = 100.0
     instances: dict[str, Instance] = attrs.field(factory=dict)
     flying: list[tuple[str, str, bytes]] = attrs.field(factory=list)
@@ -102,8 +106,16 @@
             return
         instance.identity = saved.identity
         seed = hash((self.seed, instance.births, self.names.index(name)))
+        growth = None
+        if self.tolerance is not None:
+            growth = Growth(self.tolerance, self.founding)
         replica = create_replica(
-            saved, self.names, TIMING, seed, self.clock(name)
+            saved,
+            self.seeds or self.names,
+            TIMING,
+            seed,
+            self.clock(name),
+            growth,
         )
         instance.process = Process(replica, journal)
         self._restore(instance.process, saved.snapshot)
