Ask control more often while a node lacks what it needs

Cause: after the stop of all machines, balancers had their routes up to 0.5 s after the leader was elected, since they ask every 0.4 s. A balancer without confirmed routes, and an agent that knows no balancer, now ask every 0.1 s, and an agent reports at once to a balancer that is new to it. Discovery gets its tests.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
@@ -31,6 +31,10 @@
 #: everywhere within a fraction of the 3 s that are allowed.
 HELLO_INTERVAL = 0.4
 
+#: The same as long as a node lacks what it needs to serve, in seconds: after
+#: a stop of the whole system each moment counts.
+HELLO_INTERVAL_LACKING = 0.1
+
 #: Silence after which a control instance no longer lists a node, in seconds:
 #: several of its questions lost.
 NODE_TIMEOUT = 3.0
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
@@ -118,7 +118,10 @@
         """Take a message from control or a balancer."""
         now = self._now()
         if isinstance(message, Welcome):
+            known = self.finder.list_balancers()
             self.finder.hear(sender, message, now)
+            fresh = set(self.finder.list_balancers()).difference(known)
+            self._report_to(fresh)
             return
         self._carry_out(self.agent.receive_message(sender, message, now))
 
@@ -148,11 +151,18 @@
             self._report_load(far=True)
 
     def _report_load(self, far: bool) -> None:
+        zone = self.settings.node.zone
+        self._report_to(
+            node
+            for node in self.finder.list_balancers()
+            if far or node.zone == zone
+        )
+
+    def _report_to(self, nodes: Iterable[Node]) -> None:
         report = LoadReport(self.agent.describe_load(self._now()))
-        for node in self.finder.list_balancers():
+        for node in nodes:
             address = parse_address(node.address).value_or(None)
-            near = node.zone == self.settings.node.zone
-            if address is not None and (far or near):
+            if address is not None:
                 self.send(address, report)
 
     def _carry_out(self, actions: Iterable[Action]) -> None:
@@ -212,6 +222,15 @@
     supervisor.supervise('expiry', role.expire)
     supervisor.supervise('reports', role.report_load)
     supervisor.supervise(
-        'control', partial(ask_control, AGENT, itself, finder, send, report)
+        'control',
+        partial(
+            ask_control,
+            AGENT,
+            itself,
+            finder,
+            lambda: bool(finder.list_balancers()),
+            send,
+            report,
+        ),
     )
     return role
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/asking.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/asking.py
@@ -8,9 +8,12 @@
 from pistachiohook_core.events import CONTROL_REGAINED
 from pistachiohook_core.events import CONTROL_UNREACHABLE
 from pistachiohook_core.passthrough.discovery import HELLO_INTERVAL
+from pistachiohook_core.passthrough.discovery import HELLO_INTERVAL_LACKING
 from pistachiohook_core.passthrough.messages import Hello
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pistachiohook_core.passthrough.discovery import Finder
     from pistachiohook_core.passthrough.messages import Node
 
@@ -19,13 +22,19 @@
 
 
 async def ask_control(
-    role: str, node: Node, finder: Finder, send: SendMessage, report: Report
+    role: str,
+    node: Node,
+    finder: Finder,
+    is_supplied: Callable[[], bool],
+    send: SendMessage,
+    report: Report,
 ) -> None:
     """Say hello to control instances, until cancelled.
 
     :param role: role of this process
     :param node: what it says of itself
     :param finder: knows whom to ask
+    :param is_supplied: tells whether the node has what it needs to serve
     :param send: sends a message
     :param report: logs that control is lost, and that it is back
     """
@@ -41,4 +50,7 @@
             heard = answers
             event = CONTROL_REGAINED if heard else CONTROL_UNREACHABLE
             report(event, peer=', '.join(map(str, asked)))
-        await asyncio.sleep(HELLO_INTERVAL)
+        supplied = is_supplied()
+        await asyncio.sleep(
+            HELLO_INTERVAL if supplied else HELLO_INTERVAL_LACKING
+        )
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
@@ -49,7 +49,7 @@
 FETCH_TIMEOUT = 0.8
 
 #: Time between two looks for a newer version, in seconds.
-FETCH_INTERVAL = 0.1
+FETCH_INTERVAL = 0.05
 
 #: Time between two looks at idle flows and silent agents, in seconds.
 FORGET_INTERVAL = 1.0
@@ -228,6 +228,14 @@
     supervisor.supervise('memory', role.forget)
     supervisor.supervise(
         'control',
-        partial(ask_control, BALANCER, itself, finder, send, report),
+        partial(
+            ask_control,
+            BALANCER,
+            itself,
+            finder,
+            lambda: role.confirmed,
+            send,
+            report,
+        ),
     )
     return role
--- /dev/null
+++ b/tests/core/passthrough/steps/discovery_steps.py
@@ -0,0 +1,224 @@
+"""Steps on finding nodes and on the replicated routes."""
+
+from __future__ import annotations
+
+import re
+
+from behave import given
+from behave import then
+from behave import when
+from pistachiohook_core.addresses import Address
+from pistachiohook_core.passthrough.discovery import AGENT
+from pistachiohook_core.passthrough.discovery import BALANCER
+from pistachiohook_core.passthrough.discovery import CONTROL
+from pistachiohook_core.passthrough.discovery import Directory
+from pistachiohook_core.passthrough.discovery import Finder
+from pistachiohook_core.passthrough.messages import Hello
+from pistachiohook_core.passthrough.messages import Node
+from pistachiohook_core.passthrough.messages import Welcome
+from pistachiohook_core.passthrough.orders import make_order
+from pistachiohook_core.passthrough.orders import ORDER_CODEC
+from pistachiohook_core.passthrough.orders import read_document
+from pistachiohook_core.passthrough.orders import RouteOrders
+from pistachiohook_core.passthrough.orders import unpack_routes
+from pistachiohook_core.passthrough.routes import RouteSet
+
+#: Addresses by the names in the scenarios.
+HOSTS = {
+    name: Address(f'10.0.0.{number}', 1)
+    for number, name in enumerate(('c1', 'c2', 'c3', 'b1', 'a1'), 1)
+}
+
+
+def make_node(name, zone='x'):
+    return Node(str(HOSTS[name]), zone)
+
+
+def answer(context, name, zone, version=1, age=0, controls=(), balancers=()):
+    nodes = (make_node(name, zone), *map(make_node, controls))
+    welcome = Welcome(
+        nodes[0],
+        version,
+        age,
+        'routes:1',
+        nodes,
+        tuple(map(make_node, balancers)),
+    )
+    context.finder.hear(HOSTS[name], welcome, context.now)
+
+
+@given('a node in zone "{zone}" with the seeds "{one}" and "{two}"')
+def start_node(context, zone, one, two):
+    context.now = 100.0
+    context.finder = Finder(zone, (HOSTS[one], HOSTS[two]))
+    context.asked = list(context.finder.choose_controls(context.now))
+
+
+@when('"{one}" of zone "{zone}" and "{two}" of zone "{other}" answer')
+def answer_both(context, one, zone, two, other):
+    answer(context, one, zone)
+    answer(context, two, other)
+
+
+@when('"{name}" of zone "{zone}" answers with a proof that is {age:d} ms old')
+def answer_old(context, name, zone, age):
+    answer(context, name, zone, age=age)
+
+
+@when('"{name}" of zone "{zone}" answers and names "{other}"')
+def answer_naming(context, name, zone, other):
+    answer(context, name, zone, controls=(other,))
+
+
+@when('"{name}" of zone "{zone}" answers for {seconds:f} seconds')
+def answer_long(context, name, zone, seconds):
+    end = context.now + seconds
+    while context.now < end:
+        answer(context, name, zone)
+        context.asked += context.finder.choose_controls(context.now)
+        context.now += 0.4
+
+
+@when(
+    '"{name}" of zone "{zone}" answers with version {version:d} and a proof'
+    ' that is {age:d} ms old'
+)
+def answer_version(context, name, zone, version, age):
+    answer(context, name, zone, version, age)
+
+
+@when('"{name}" of zone "{zone}" answers and lists the balancer "{other}"')
+def answer_listing(context, name, zone, other):
+    answer(context, name, zone, balancers=(other,))
+
+
+@when('"{name}" of zone "{zone}" answers and lists nobody')
+def answer_empty(context, name, zone):
+    answer(context, name, zone)
+
+
+@when('{seconds:d} seconds pass')
+def pass_time(context, seconds):
+    for _ in range(seconds):
+        context.now += 1
+        context.finder.choose_controls(context.now)
+    context.now += 0.1
+
+
+@then('it asks {names}')
+def check_asked(context, names):
+    asked = context.finder.choose_controls(context.now)
+    wanted = {HOSTS[name] for name in re.findall('"(.+?)"', names)}
+    assert set(asked) == wanted, asked
+
+
+@then('after {seconds:f} seconds without an answer it asks {names}')
+def asks_later(context, seconds, names):
+    context.now += seconds
+    check_asked(context, names)
+
+
+@then('it has asked "{name}" at least {times:d} time')
+def has_asked(context, name, times):
+    assert context.asked.count(HOSTS[name]) >= times + 1
+
+
+@then('version {version:d} is confirmed')
+def is_confirmed(context, version):
+    assert context.finder.is_confirmed(version, context.now)
+
+
+@then('version {version:d} is not confirmed')
+def is_not_confirmed(context, version):
+    assert not context.finder.is_confirmed(version, context.now)
+
+
+@given('control instances "{one}" and "{two}"')
+def start_controls(context, one, two):
+    context.now = 100.0
+    context.directories = {
+        name: Directory(make_node(name)) for name in (one, two)
+    }
+
+
+@when('a balancer "{name}" says hello to "{control}"')
+def say_hello(context, name, control):
+    hello = Hello(BALANCER, make_node(name))
+    context.directories[control].hear(hello, context.now)
+
+
+@when('"{one}" tells "{two}" whom it hears')
+def gossip(context, one, two):
+    heard = context.directories[one].list_heard()
+    hello = Hello(CONTROL, make_node(one), heard)
+    context.directories[two].hear(hello, context.now)
+
+
+def ask(context, control):
+    directory = context.directories[control]
+    directory.forget(context.now)
+    directory.hear(Hello(AGENT, make_node('a1')), context.now)
+    return [node.address for node in directory.list_balancers()]
+
+
+@then('an agent that asks "{control}" is told "{name}"')
+def is_told(context, control, name):
+    assert ask(context, control) == [str(HOSTS[name])]
+
+
+@then(
+    'after {seconds:f} seconds an agent that asks "{control}" is told nobody'
+)
+def is_told_nobody(context, seconds, control):
+    context.now += seconds
+    assert ask(context, control) == []
+
+
+@then('the balancer "{name}" is known')
+def is_known(context, name):
+    assert make_node(name) in context.finder.list_balancers()
+
+
+@then('after {seconds:d} seconds it is known no more')
+def is_forgotten(context, seconds):
+    pass_time(context, seconds)
+    assert not context.finder.list_balancers()
+
+
+@given('the routes of version {version:d} are held')
+def hold(context, version):
+    context.orders = RouteOrders()
+    apply_order(context, version, b'document')
+
+
+def apply_order(context, version, document):
+    order = make_order(RouteSet(version, (), ()), document)
+    encoded = context.orders.apply(1, ORDER_CODEC.encode(order))
+    context.outcome = ORDER_CODEC.decode(encoded, 'test').unwrap()
+
+
+@when('an order of version {version:d} with {content} is applied')
+def apply_further(context, version, content):
+    document = b'document' if content == 'the same' else b'other'
+    apply_order(context, version, document)
+
+
+@then('version {version:d} is in force and the outcome says {outcome}')
+def check_outcome(context, version, outcome):
+    assert context.outcome.version == version
+    assert context.outcome.changed is (outcome == 'changed')
+    assert unpack_routes(context.orders.held.routes).version == version
+    document = read_document(context.orders.held)
+    assert document == (b'document' if version == 5 else b'other')
+
+
+@when('a snapshot is taken and restored')
+def restore(context):
+    snapshot = context.orders.take_snapshot()
+    context.orders = RouteOrders()
+    context.orders.restore(snapshot)
+
+
+@then('the document reads as it was written')
+def check_document(context):
+    assert read_document(context.orders.held) == b'document'
