Let a surge wait at the agents, by urgency

Ruled out: placing (all targets were as full).

An agent now hands in two flows for each slot of its target and lets the others wait for up to 1.2 s, more urgent routes first; what has waited too long, or waits for a target that starts to leave, is given back to be opened elsewhere.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 import enum
+import heapq
 from typing import TYPE_CHECKING
 
 import attrs
@@ -45,6 +46,15 @@
 #: Time for which a target that counts as down gets no offers, in seconds.
 DOWN_PAUSE = 1.0
 
+#: Longest wait of an opening packet at the agent, in seconds; the caller gives
+#: up after 1.4, and what is left is for the handshake.
+WAIT_MAX = 1.2
+
+#: Flows that a target is given for each of its slots: one that runs, and one
+#: whose handshake and request come while the former is answered. A target
+#: queues few more, and sheds the rest.
+FLOWS_PER_SLOT = 2
+
 #: Life of a flow that a caller does not go on opening, in seconds; a caller
 #: gives up after 1.4.
 OPENING_TIMEOUT = 1.6
@@ -66,6 +76,8 @@
 class FlowState(enum.Enum):
     """How far a flow has come at the target."""
 
+    #: Its opening packet waits at the agent.
+    WAITING = 'waiting'
     #: The target has the opening packet.
     OFFERED = 'offered'
     #: The target has accepted it.
@@ -86,6 +98,7 @@
     :param touched_at: when its last packet went by, either way
     :param sequence: number with which the target accepted it
     :param served_at: when the caller's first data came
+    :param opening: its opening packet, as long as it waits
     """
 
     state: FlowState
@@ -94,6 +107,7 @@
     touched_at: float
     sequence: int = 0
     served_at: float | None = None
+    opening: bytes = b''
 
 
 @attrs.define
@@ -125,6 +139,14 @@
     :param form: form of the packets
     :param started: start of the agent, in milliseconds of the time of day
     :param started_at: the same on the clock of the calls
+    :param target: what the target says of itself
+    :param flows: flows at the target, and those that wait for it
+    :param busy: how many of them have not ended
+    :param waiting: those that wait, by priority and arrival; also some that
+        no longer do
+    :param held: how many wait
+    :param stopping: whether the process is going away
+    :param counts: packets and decisions by name
     :param idle_timeout: after which an idle flow is forgotten, in seconds
     :param flow_age_max: longest life of a flow, in seconds
     """
@@ -139,6 +161,8 @@
     target: TargetView | None = None
     flows: dict[bytes, AgentFlow] = attrs.field(factory=dict)
     busy: int = 0
+    waiting: list[tuple[int, int, bytes]] = attrs.field(factory=list)
+    held: int = 0
     stopping: bool = False
     counts: Counter[str] = attrs.field(factory=Counter)
     service_ms: float = SERVICE_MS
@@ -223,16 +247,19 @@
         """Take what a balancer sends."""
         match message:
             case Offer():
-                return self._take_offer(sender, message, now)
+                actions = self._take_offer(sender, message, now)
             case Carry():
-                return self._take_carry(sender, message, now)
+                actions = self._take_carry(sender, message, now)
             case Find():
-                return self._take_find(sender, message, now)
-        self.counts['messages_unexpected'] += 1
-        return []
+                actions = self._take_find(sender, message, now)
+            case _:
+                self.counts['messages_unexpected'] += 1
+                actions = []
+        return actions + self._serve_waiting(now)
 
     def receive_packet(self, packet: bytes, now: float) -> list[Action]:
         """Take what the target sends or gives back."""
+        actions: list[Action]
         segment = self.form.read_target(packet)
         if segment is None:
             self.counts['packets_malformed'] += 1
@@ -240,7 +267,8 @@
         self._silent_offers = 0
         self._down_until = float('-inf')
         if segment.returned:
-            return self._take_returned(segment, now)
+            actions = self._take_returned(segment, now)
+            return actions + self._serve_waiting(now)
         flow = self.flows.get(segment.flow)
         if flow is None:
             flow = self._adopt(segment.flow, None, now)
@@ -249,22 +277,70 @@
             flow.state = FlowState.ACCEPTED
             flow.sequence = segment.sequence
         self.counts['packets_to_callers'] += 1
-        actions: list[Action] = [DeliverToCaller(segment.flow, segment.raw)]
+        actions = [DeliverToCaller(segment.flow, segment.raw)]
         if segment.ends or segment.resets:
             actions += self._end(segment.flow, flow, now)
-        return actions
+        return actions + self._serve_waiting(now)
 
     def expire(self, now: float) -> list[Action]:
         """Give back what the target does not answer; forget what is over."""
         actions: list[Action] = []
         for key, flow in list(self.flows.items()):
             age = now - flow.touched_at
-            if flow.state is FlowState.OFFERED and age > ACCEPT_TIMEOUT:
+            if flow.state is FlowState.WAITING:
+                actions += self._end_wait(key, flow, now)
+            elif flow.state is FlowState.OFFERED and age > ACCEPT_TIMEOUT:
                 actions += self._give_up(key, flow, now)
             elif age > self._find_life(flow):
                 self._drop(key, flow)
+        return actions + self._serve_waiting(now)
+
+    def _serve_waiting(self, now: float) -> list[Action]:
+        """Hand in what waits as far as the target has room.
+
+        Answers the load of more new flows at once than targets queue. What
+        has waited too long, or for a target that takes no new flows any
+        more, is given back to be opened elsewhere.
+        """
+        actions: list[Action] = []
+        while self.waiting:
+            _, _, key = self.waiting[0]
+            flow = self.flows.get(key)
+            if flow is None or flow.state is not FlowState.WAITING:
+                heapq.heappop(self.waiting)
+                continue
+            ended = self._end_wait(key, flow, now)
+            actions += ended
+            if ended:
+                continue
+            if not self._has_room():
+                break
+            heapq.heappop(self.waiting)
+            self.held -= 1
+            flow.state = FlowState.OFFERED
+            flow.touched_at = now
+            actions.append(DeliverToTarget(flow.opening))
+            flow.opening = b''
         return actions
 
+    def _end_wait(
+        self, key: bytes, flow: AgentFlow, now: float
+    ) -> list[Action]:
+        """Give a flow back that has waited in vain."""
+        if self.find_state(now) is not TargetState.READY:
+            reason = DeclineReason.NOT_READY
+        elif now - flow.began_at > WAIT_MAX:
+            reason = DeclineReason.OVERLOADED
+        else:
+            return []
+        self._drop(key, flow)
+        assert flow.balancer is not None
+        return self._decline(flow.balancer, key, reason, now)
+
+    def _has_room(self) -> bool:
+        slots = self.target.slots if self.target else 0
+        return self.busy - self.held < slots * FLOWS_PER_SLOT
+
     def _find_life(self, flow: AgentFlow) -> float:
         if flow.state is FlowState.ACCEPTED:
             return OPENING_TIMEOUT
@@ -276,6 +352,8 @@
         if not restarted:
             return
         self.flows.clear()
+        self.waiting.clear()
+        self.held = 0
         self.busy = 0
         self._silent_offers = 0
         self._down_until = float('-inf')
@@ -302,18 +380,28 @@
             return self._decline(sender, segment.flow, reason, now)
         if known is not None:
             self._drop(segment.flow, known)
-        flow = AgentFlow(FlowState.OFFERED, sender, now, now)
+        flow = AgentFlow(
+            FlowState.WAITING, sender, now, now, opening=segment.raw
+        )
         self.flows[segment.flow] = flow
         self.busy += 1
+        self.held += 1
         self.counts['flows_offered'] += 1
-        return self._pass_on(segment, flow, now)
+        rank = (offer.priority, self.counts['flows_offered'], segment.flow)
+        heapq.heappush(self.waiting, rank)
+        return [Send(sender, Taken(segment.flow, self.describe_load(now)))]
 
     def _pass_on(
         self, segment: Segment, flow: AgentFlow, now: float
     ) -> list[Action]:
+        """Hand in an opening packet that the caller has sent again."""
         assert flow.balancer is not None
-        taken = Taken(segment.flow, self.describe_load(now))
-        return [DeliverToTarget(segment.raw), Send(flow.balancer, taken)]
+        taken = Send(
+            flow.balancer, Taken(segment.flow, self.describe_load(now))
+        )
+        if flow.state is FlowState.WAITING:
+            return [taken]
+        return [DeliverToTarget(segment.raw), taken]
 
     def _find_objection(
         self, offer: Offer, now: float
@@ -322,13 +410,19 @@
             return DeclineReason.WRONG_SERVICE
         if self.find_state(now) is not TargetState.READY:
             return DeclineReason.NOT_READY
-        wait = estimate_wait(self.describe_load(now), self.busy)
-        if wait + self.service_ms > offer.timeout_ms:
+        ahead = self.busy - self._count_behind(offer.priority)
+        wait = estimate_wait(self.describe_load(now), ahead)
+        late = wait + self.service_ms > offer.timeout_ms
+        if late or wait > WAIT_MAX * 1000:
             return DeclineReason.OVERLOADED
         if wait > offer.patience_ms:
             return DeclineReason.BUSY
         return None
 
+    def _count_behind(self, priority: int) -> int:
+        """Return how many flows wait that are less urgent."""
+        return sum(rank[0] > priority for rank in self.waiting)
+
     def _decline(
         self, balancer: Address, flow: bytes, reason: DeclineReason, now: float
     ) -> list[Action]:
@@ -365,11 +459,13 @@
         self, sender: Address, segment: Segment, flow: AgentFlow, now: float
     ) -> list[Action]:
         flow.balancer = sender
+        if flow.state is FlowState.WAITING:
+            return []
         actions: list[Action] = [DeliverToTarget(segment.raw)]
         if segment.opens:
             return actions
         flow.touched_at = now
-        if flow.state in (FlowState.OFFERED, FlowState.ACCEPTED):
+        if flow.state is FlowState.ACCEPTED:
             flow.state = FlowState.OPEN
             opening_ms = round((now - flow.began_at) * 1000, 1)
             fields = {
@@ -386,7 +482,11 @@
 
     def _is_elsewhere(self, flow: AgentFlow, segment: Segment) -> bool:
         """Tell whether the caller has opened the flow at another target."""
-        if flow.state is not FlowState.ACCEPTED or segment.opens:
+        if segment.opens:
+            return False
+        if flow.state in (FlowState.WAITING, FlowState.OFFERED):
+            return True
+        if flow.state is not FlowState.ACCEPTED:
             return False
         ahead = (segment.acknowledged - flow.sequence) % SEQUENCE_RANGE
         return ahead > 1
@@ -411,7 +511,8 @@
                 return []
             return [Send(sender, Found(find.flow, False))]
         ahead = (find.acknowledged - flow.sequence) % SEQUENCE_RANGE
-        if flow.state is FlowState.ACCEPTED and ahead > 1:
+        elsewhere = flow.state is FlowState.ACCEPTED and ahead > 1
+        if elsewhere or flow.state in (FlowState.WAITING, FlowState.OFFERED):
             return []
         return [Send(sender, Found(find.flow, True))]
 
@@ -474,3 +575,5 @@
         del self.flows[key]
         if flow.state is not FlowState.ENDED:
             self.busy -= 1
+        if flow.state is FlowState.WAITING:
+            self.held -= 1
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -304,6 +304,7 @@
             entry.service,
             min(patience, float(route.timeout_ms)),
             route.timeout_ms,
+            route.priority,
             entry.opening.raw,
         )
         return [
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -73,12 +73,14 @@
     :param patience_ms: longest wait for a slot at which the balancer prefers
         this target to others
     :param timeout_ms: within which the caller needs its answer
+    :param priority: which flows wait least; 0 goes first
     :param packet: the opening packet
     """
 
     service: str
     patience_ms: float
     timeout_ms: int
+    priority: int
     packet: bytes
 
 
--- a/tests/core/passthrough/mesh.py
+++ b/tests/core/passthrough/mesh.py
@@ -30,6 +30,7 @@
 HEADER = struct.Struct('!12sBIIH')
 OPENS, ACCEPTS, ENDS, RESETS, RETURNED = 1, 2, 4, 8, 16
 ENTRY = Address('198.18.0.1', 443)
+URGENT = Address('198.18.0.1', 8080)
 ENTRY_NUMBER = 0xC6120001
 NEAR_MS, FAR_MS, CALLER_MS = 0.2, 1.4, 1.0
 #: When a caller repeats its opening packet, and when it gives up.
@@ -82,6 +83,7 @@
     running: int = 0
     queue: list = attrs.field(factory=list)
     opened: int = 0
+    shed: int = 0
     runs: Counter = attrs.field(factory=Counter)
     foreign: int = 0
 
@@ -98,6 +100,7 @@
     accepted: int = 0
     ended_at: float | None = None
     outcome: str = ''
+    urgent: bool = False
 
 
 @attrs.define(eq=False)
@@ -134,7 +137,11 @@
     def set_routes(self, *services, idle_timeout_ms=15_000):
         self.version += 1
         shares = tuple(Share(service) for service in services)
-        routes = (Route('r', ENTRY, shares, 1500, 275),) if services else ()
+        routes = (
+            Route('r', ENTRY, shares, 1500, 275, 2),
+            Route('u', URGENT, shares, 1500, 275, 1),
+        )
+        routes = routes if services else ()
         table = build_table(
             RouteSet(self.version, services, routes, idle_timeout_ms)
         )
@@ -265,7 +272,11 @@
         self.leave_target(name, encode(segment.flow, ACCEPTS, number))
 
     def enqueue(self, name, target, flow):
-        if target.runs[flow]:
+        if target.runs[flow] or flow in target.queue:
+            return
+        if len(target.queue) >= target.queue_max:
+            target.shed += 1
+            self.leave_target(name, encode(flow, ENDS, 1, 0, 1))
             return
         target.runs[flow] += 1
         target.queue.append(flow)
@@ -290,9 +301,10 @@
         if agent is not None and name not in self.cut:
             self.carry_out(name, agent.receive_packet(packet, self.now))
 
-    def call(self, balancer, work_s=None):
-        flow = make_flow(1, next(self.ports), ENTRY_NUMBER, ENTRY.port)
-        attempt = Attempt(flow, balancer, self.now, work_s)
+    def call(self, balancer, work_s=None, urgent=False):
+        port = (URGENT if urgent else ENTRY).port
+        flow = make_flow(1, next(self.ports), ENTRY_NUMBER, port)
+        attempt = Attempt(flow, balancer, self.now, work_s, urgent=urgent)
         self.attempts[flow] = attempt
         self.open(attempt, 0)
         for number, wait in enumerate(REPEATS, 1):
@@ -333,7 +345,8 @@
             attempt.accepted = segment.sequence
             self.request(attempt)
         elif segment.ends and attempt.opened_at is not None:
-            attempt.outcome = 'answered'
+            shed = segment.length == 1
+            attempt.outcome = 'shed' if shed else 'answered'
             attempt.ended_at = self.now
             self.go_on(attempt, ENDS, 0)
 
--- a/tests/core/passthrough/placing.feature
+++ b/tests/core/passthrough/placing.feature
@@ -33,3 +33,19 @@
     When 600 callers of zone "x" call at once
     Then every call is answered or refused
     And each refused call was refused within 300 ms and has not run
+
+  Scenario: A surge waits at the agents, where targets would shed it
+    Given 2 balancers in zone "x" with 3 agents whose targets queue 4
+    When 90 callers of zone "x" call at once
+    Then all calls are answered and no target has shed any
+    And half of the calls are answered within 450 ms
+
+  Scenario: What is more urgent goes first in a surge
+    Given 2 balancers in zone "x" with 2 agents whose targets queue 4
+    When 60 callers call at once, each third by an urgent route
+    Then the urgent calls took half as long as the others on average
+
+  Scenario: What waits at an agent whose target starts to leave goes elsewhere
+    Given 1 balancers in zone "x" with 2 agents whose targets queue 4
+    When 30 callers of zone "x" call at once and a target starts to leave
+    Then all calls are answered and no target has shed any
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from random import Random
 
 from behave import given
@@ -405,3 +406,63 @@
             target.runs[one.flow] for target in context.mesh.targets.values()
         ]
         assert not any(runs)
+
+
+@given(
+    '{balancers:d} balancers in zone "{zone}" with {agents:d} agents whose'
+    ' targets queue {queue:d}'
+)
+def build_queueing(context, balancers, zone, agents, queue):
+    context.mesh = Mesh()
+    for number in range(balancers):
+        context.mesh.add_balancer(f'b{zone}{number or ""}', zone)
+    for number in range(agents):
+        context.mesh.add_agent(f'a{number}', zone, slots=2, queue_max=queue)
+    context.mesh.set_routes('s')
+    settle(context.mesh)
+
+
+@when('{callers:d} callers call at once, each third by an urgent route')
+def call_mixed(context, callers):
+    mesh = context.mesh
+    names = list(mesh.balancers)
+    context.calls = [
+        mesh.call(names[number % len(names)], urgent=number % 3 == 0)
+        for number in range(callers)
+    ]
+    mesh.run(10)
+
+
+@when(
+    '{callers:d} callers of zone "{zone}" call at once and a target starts'
+    ' to leave'
+)
+def call_and_leave(context, callers, zone):
+    mesh = context.mesh
+    context.calls = [mesh.call(f'b{zone}') for _ in range(callers)]
+    mesh.run(0.08)
+    mesh.beat('a0', leaving=True)
+    mesh.run(10)
+
+
+@then('all calls are answered and no target has shed any')
+def none_shed(context):
+    outcomes = Counter(one.outcome for one in context.calls)
+    assert set(outcomes) == {'answered'}, outcomes
+    assert not any(one.shed for one in context.mesh.targets.values())
+
+
+@then('half of the calls are answered within {bound:d} ms')
+def check_half(context, bound):
+    check_part(context, 50, bound)
+
+
+@then('the urgent calls took half as long as the others on average')
+def check_urgent(context):
+    def mean(calls):
+        calls = [one for one in calls if one.outcome == 'answered']
+        return sum(one.ended_at - one.began_at for one in calls) / len(calls)
+
+    urgent = mean([one for one in context.calls if one.urgent])
+    others = mean([one for one in context.calls if not one.urgent])
+    assert urgent <= others / 2, (urgent, others)
