Bound waits by what the caller has left, and let overload pass

From the log: agents held up to 119 flows; a flow that had waited 1.2 s in vain was offered to the next agent, which let it wait as long again, past the 1.4 s after which its caller gives up; accepted flows whose callers had left kept a place for 1.6 s; and times measured in a full queue made every estimate worse.

An offer now carries the wait that is of use: half of the route's timeout, at most 1.2 s, less the age of the flow. Balancers skip targets beyond it and refuse at once when all are. A flow that its caller does not go on opening within 0.3 s counts no more, a target is given its slots and one flow, and the mean time of a flow is divided by how many shared a slot. The wait that a flow accepts before it crosses zones falls to 0.15 of the target latency.

Tests seed every balancer.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -46,19 +46,19 @@
 #: Time for which a target that counts as down gets no offers, in seconds.
 DOWN_PAUSE = 1.0
 
-#: Longest wait of an opening packet at the agent, in seconds; the caller gives
-#: up after 1.4, and what is left is for the handshake.
-WAIT_MAX = 1.2
-
-#: Flows that a target is given for each of its slots: one that runs, and one
-#: whose handshake and request come while the former is answered. A target
-#: queues few more, and sheds the rest.
-FLOWS_PER_SLOT = 2
+#: Flows that a target is given beyond its slots: one whose handshake and
+#: request come while another is answered. A target queues few more and sheds
+#: the rest, and what waits here can still be opened elsewhere.
+SPARE_FLOWS = 1
 
 #: Life of a flow that a caller does not go on opening, in seconds; a caller
 #: gives up after 1.4.
 OPENING_TIMEOUT = 1.6
 
+#: Time in which a caller goes on opening a flow, in seconds, as long as it is
+#: there: the ways, a lost packet and its repeat.
+HANDSHAKE_TIMEOUT = 0.3
+
 #: Time for which a flow that has ended is still known, in seconds, for the
 #: packets that its ends send again.
 ENDED_TIMEOUT = 5.0
@@ -99,6 +99,9 @@
     :param sequence: number with which the target accepted it
     :param served_at: when the caller's first data came
     :param opening: its opening packet, as long as it waits
+    :param wait_until: when its wait is of no more use
+    :param counted: whether it counts as in progress
+    :param shared_by: flows for each slot when its request came, at least 1
     """
 
     state: FlowState
@@ -108,6 +111,9 @@
     sequence: int = 0
     served_at: float | None = None
     opening: bytes = b''
+    wait_until: float = 0.0
+    counted: bool = True
+    shared_by: float = 1.0
 
 
 @attrs.define
@@ -286,15 +292,29 @@
         """Give back what the target does not answer; forget what is over."""
         actions: list[Action] = []
         for key, flow in list(self.flows.items()):
-            age = now - flow.touched_at
-            if flow.state is FlowState.WAITING:
-                actions += self._end_wait(key, flow, now)
-            elif flow.state is FlowState.OFFERED and age > ACCEPT_TIMEOUT:
-                actions += self._give_up(key, flow, now)
-            elif age > self._find_life(flow):
-                self._drop(key, flow)
+            actions += self._expire_flow(key, flow, now)
         return actions + self._serve_waiting(now)
 
+    def _expire_flow(
+        self, key: bytes, flow: AgentFlow, now: float
+    ) -> list[Action]:
+        age = now - flow.touched_at
+        if flow.state is FlowState.WAITING:
+            return self._end_wait(key, flow, now)
+        if flow.state is FlowState.OFFERED and age > ACCEPT_TIMEOUT:
+            return self._give_up(key, flow, now)
+        if flow.state is FlowState.ACCEPTED and age > HANDSHAKE_TIMEOUT:
+            self._count(flow, False)
+        if age > self._find_life(flow):
+            self._drop(key, flow)
+        return []
+
+    def _count(self, flow: AgentFlow, counted: bool) -> None:
+        """Let a flow count as in progress, or not."""
+        if flow.counted != counted:
+            flow.counted = counted
+            self.busy += 1 if counted else -1
+
     def _serve_waiting(self, now: float) -> list[Action]:
         """Hand in what waits as far as the target has room.
 
@@ -329,7 +349,7 @@
         """Give a flow back that has waited in vain."""
         if self.find_state(now) is not TargetState.READY:
             reason = DeclineReason.NOT_READY
-        elif now - flow.began_at > WAIT_MAX:
+        elif now > flow.wait_until:
             reason = DeclineReason.OVERLOADED
         else:
             return []
@@ -339,7 +359,7 @@
 
     def _has_room(self) -> bool:
         slots = self.target.slots if self.target else 0
-        return self.busy - self.held < slots * FLOWS_PER_SLOT
+        return self.busy - self.held < slots + SPARE_FLOWS
 
     def _find_life(self, flow: AgentFlow) -> float:
         if flow.state is FlowState.ACCEPTED:
@@ -381,7 +401,12 @@
         if known is not None:
             self._drop(segment.flow, known)
         flow = AgentFlow(
-            FlowState.WAITING, sender, now, now, opening=segment.raw
+            FlowState.WAITING,
+            sender,
+            now,
+            now,
+            opening=segment.raw,
+            wait_until=now + offer.budget_ms / 1000,
         )
         self.flows[segment.flow] = flow
         self.busy += 1
@@ -412,8 +437,7 @@
             return DeclineReason.NOT_READY
         ahead = self.busy - self._count_behind(offer.priority)
         wait = estimate_wait(self.describe_load(now), ahead)
-        late = wait + self.service_ms > offer.timeout_ms
-        if late or wait > WAIT_MAX * 1000:
+        if wait > offer.budget_ms:
             return DeclineReason.OVERLOADED
         if wait > offer.patience_ms:
             return DeclineReason.BUSY
@@ -466,6 +490,7 @@
             return actions
         flow.touched_at = now
         if flow.state is FlowState.ACCEPTED:
+            self._count(flow, True)
             flow.state = FlowState.OPEN
             opening_ms = round((now - flow.began_at) * 1000, 1)
             fields = {
@@ -476,6 +501,8 @@
             actions.append(Log(FLOW_OPENED, fields))
         if segment.length and flow.served_at is None:
             flow.served_at = now
+            slots = max(1, self.target.slots if self.target else 1)
+            flow.shared_by = max(1.0, (self.busy - self.held) / slots)
         if segment.ends or segment.resets:
             actions += self._end(segment.flow, flow, now)
         return actions
@@ -557,12 +584,14 @@
     def _end(self, key: bytes, flow: AgentFlow, now: float) -> list[Action]:
         if flow.state is FlowState.ENDED:
             return []
+        self._count(flow, False)
         flow.state = FlowState.ENDED
-        self.busy -= 1
         took_ms = 0.0
         if flow.served_at is not None:
             took_ms = (now - flow.served_at) * 1000
-            self.service_ms += (took_ms - self.service_ms) * SERVICE_TIME_GAIN
+            alone_ms = took_ms / flow.shared_by
+            gain = SERVICE_TIME_GAIN
+            self.service_ms += (alone_ms - self.service_ms) * gain
         fields = {
             'flow': describe_flow(key),
             'served_ms': round(took_ms, 1),
@@ -573,7 +602,6 @@
 
     def _drop(self, key: bytes, flow: AgentFlow) -> None:
         del self.flows[key]
-        if flow.state is not FlowState.ENDED:
-            self.busy -= 1
+        self._count(flow, False)
         if flow.state is FlowState.WAITING:
             self.held -= 1
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -31,6 +31,7 @@
 from .messages import Taken
 from .placement import AgentView
 from .placement import choose_agent
+from .placement import find_budget
 from .placement import is_heard
 from .routes import choose_service
 from .routes import list_services
@@ -62,6 +63,10 @@
 #: 16 under way and sends what is dropped again.
 WAITING_MAX = 16
 
+#: Age of a flow by how often its caller has sent the opening packet before,
+#: in seconds.
+REPEAT_AGES = (0.0, 0.2, 0.6)
+
 #: Flows that are remembered; the least recently used are forgotten first.
 FLOWS_MAX = 65_536
 
@@ -88,6 +93,7 @@
     :param service: service that the flow belongs to
     :param state: what is known
     :param touched_at: when the last packet came
+    :param began_at: when the caller has begun to open it
     :param agent: who holds it or was asked to open it
     :param opening: the opening packet
     :param offers: how often it was offered
@@ -100,6 +106,7 @@
     service: str
     state: EntryState
     touched_at: float
+    began_at: float = 0.0
     agent: Address | None = None
     opening: Segment | None = None
     offers: int = 0
@@ -257,7 +264,11 @@
         repeated = segment.acknowledged > 0
         if entry is None or not repeated:
             service = choose_service(route, segment.flow)
-            entry = FlowEntry(service, EntryState.OFFERED, now)
+            began_at = (
+                now
+                - REPEAT_AGES[min(segment.acknowledged, len(REPEAT_AGES) - 1)]
+            )
+            entry = FlowEntry(service, EntryState.OFFERED, now, began_at)
         entry.opening = segment
         entry.touched_at = now
         self._remember(segment.flow, entry)
@@ -285,9 +296,16 @@
         assert entry.opening is not None
         views = self.views.get(entry.service, {})
         choice = None
+        budget = find_budget(route, (now - entry.began_at) * 1000)
         if entry.offers < OFFERS_MAX:
             choice = choose_agent(
-                views.values(), route, self.zone, entry.tried, self.random, now
+                views.values(),
+                route,
+                self.zone,
+                entry.tried,
+                budget,
+                self.random,
+                now,
             )
         if choice is None:
             self.flows.pop(flow, None)
@@ -299,11 +317,11 @@
         self.counts['offers'] += 1
         self._await_answer(flow, entry, now + OFFER_TIMEOUT)
         last = entry.offers == OFFERS_MAX
-        patience = float(route.timeout_ms) if last else choice.patience_ms
+        patience = budget if last else min(budget, choice.patience_ms)
         offer = Offer(
             entry.service,
-            min(patience, float(route.timeout_ms)),
-            route.timeout_ms,
+            patience,
+            budget,
             route.priority,
             entry.opening.raw,
         )
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -72,14 +72,15 @@
     :param service: service that the flow belongs to
     :param patience_ms: longest wait for a slot at which the balancer prefers
         this target to others
-    :param timeout_ms: within which the caller needs its answer
+    :param budget_ms: longest wait that leaves the caller the time to open
+        the flow and to get its answer
     :param priority: which flows wait least; 0 goes first
     :param packet: the opening packet
     """
 
     service: str
     patience_ms: float
-    timeout_ms: int
+    budget_ms: float
     priority: int
     packet: bytes
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
@@ -26,7 +26,7 @@
 
 #: Share of a route's target latency that a flow rather waits than that its
 #: bytes cross zones: a wait of this length leaves most answers in time.
-WAIT_SHARE = 0.25
+WAIT_SHARE = 0.15
 
 #: Target latency of a route that names none, in milliseconds.
 TARGET_LATENCY_MS = 500.0
@@ -39,6 +39,16 @@
 PATIENCE_MARGIN_MS = 5.0
 
 
+#: Longest wait of an opening packet, in milliseconds; its caller gives up
+#: after 1,400, and what is left is for the ways and the handshake.
+WAIT_MAX_MS = 1200.0
+
+#: Share of a route's timeout that a flow may wait for a slot. Callers whose
+#: flow did not open try again with what is left of their time, so that a
+#: longer wait ends in answers that nobody waits for.
+BUDGET_SHARE = 0.5
+
+
 @attrs.define
 class AgentView:
     """What a balancer knows of an agent.
@@ -83,11 +93,21 @@
     return ahead / slots * load.service_ms * pace
 
 
+def find_budget(route: Route, age_ms: float) -> float:
+    """Return how long a new flow may wait for a slot, in milliseconds.
+
+    :param route: route of the flow
+    :param age_ms: time since the caller has begun to open it
+    """
+    return min(WAIT_MAX_MS, route.timeout_ms * BUDGET_SHARE) - age_ms
+
+
 def choose_agent(
     views: Iterable[AgentView],
     route: Route,
     zone: str,
     tried: Collection[Address],
+    budget_ms: float,
     random: Random,
     now: float,
 ) -> Choice | None:
@@ -103,6 +123,7 @@
     :param route: route of the flow
     :param zone: availability zone of the balancer
     :param tried: agents that have declined the flow
+    :param budget_ms: longest wait that is of use to the caller
     :param random: settles ties
     :param now: time, in seconds
     :returns: the choice; ``None`` when no target may take the flow
@@ -118,14 +139,16 @@
                 view,
             )
             for view in views
-            if view.address not in tried and _is_open(view, zone, now)
+            if view.address not in tried
+            and _is_open(view, zone, now)
+            and _estimate(view) <= budget_ms
         ),
         key=lambda rank: rank[:4],
     )
     if not ranked:
         return None
     best = ranked[0][4]
-    wait = estimate_wait(best.load, _count_flows(best))
+    wait = _estimate(best)
     if len(ranked) == 1 or ranked[1][0] > ranked[0][0]:
         return Choice(best, wait, float('inf'))
     spare = ranked[1][1] - ranked[0][1]
@@ -148,10 +171,14 @@
     return view.load.flows + len(view.offered)
 
 
+def _estimate(view: AgentView) -> float:
+    return estimate_wait(view.load, _count_flows(view))
+
+
 def _fill(view: AgentView) -> float:
     return _count_flows(view) / max(1, view.load.slots)
 
 
 def _price(view: AgentView, zone: str, crossing_ms: float) -> float:
-    wait = estimate_wait(view.load, _count_flows(view))
+    wait = _estimate(view)
     return wait if view.load.zone == zone else wait + crossing_ms
--- a/tests/core/passthrough/mesh.py
+++ b/tests/core/passthrough/mesh.py
@@ -5,6 +5,7 @@
 from collections import Counter
 import heapq
 from itertools import count
+from random import Random
 import struct
 
 import attrs
@@ -36,6 +37,8 @@
 #: When a caller repeats its opening packet, and when it gives up.
 REPEATS = (0.2, 0.6)
 GIVE_UP = 1.4
+#: Pause of a caller before it tries again.
+RETRY_S = 0.05
 
 
 def encode(flow, flags, sequence=0, acknowledged=0, length=0):
@@ -101,6 +104,9 @@
     ended_at: float | None = None
     outcome: str = ''
     urgent: bool = False
+    deadline: float = float('inf')
+    retries: int = 0
+    again: object = None
 
 
 @attrs.define(eq=False)
@@ -149,7 +155,8 @@
             balancer.set_routes(table)
 
     def add_balancer(self, name, zone):
-        self.balancers[name] = Balancer(zone, FORM)
+        seed = len(self.balancers)
+        self.balancers[name] = Balancer(zone, FORM, Random(seed))
         self.zones[name] = zone
 
     def add_agent(self, name, zone, service='s', slots=2, **options):
@@ -301,10 +308,27 @@
         if agent is not None and name not in self.cut:
             self.carry_out(name, agent.receive_packet(packet, self.now))
 
-    def call(self, balancer, work_s=None, urgent=False):
+    def call(
+        self,
+        balancer,
+        work_s=None,
+        urgent=False,
+        deadline=float('inf'),
+        retries=0,
+    ):
         port = (URGENT if urgent else ENTRY).port
         flow = make_flow(1, next(self.ports), ENTRY_NUMBER, port)
-        attempt = Attempt(flow, balancer, self.now, work_s, urgent=urgent)
+        attempt = Attempt(
+            flow,
+            balancer,
+            self.now,
+            work_s,
+            urgent=urgent,
+            deadline=deadline,
+            retries=retries,
+        )
+        if deadline < float('inf'):
+            self.at(deadline, self.miss, attempt)
         self.attempts[flow] = attempt
         self.open(attempt, 0)
         for number, wait in enumerate(REPEATS, 1):
@@ -320,6 +344,31 @@
         if attempt.opened_at is None and not attempt.outcome:
             attempt.outcome = 'gave up'
             attempt.ended_at = self.now
+            self.retry(attempt)
+
+    def miss(self, attempt):
+        if not attempt.outcome:
+            attempt.outcome = 'missed'
+            attempt.ended_at = self.now
+
+    def retry(self, attempt):
+        """Try again, as callers do whose flow has not opened."""
+        if attempt.retries:
+            self.at(self.now + RETRY_S, self.call_again, attempt)
+
+    def call_again(self, attempt):
+        if self.now < attempt.deadline:
+            attempt.again = self.call(
+                attempt.balancer,
+                attempt.work_s,
+                attempt.urgent,
+                attempt.deadline,
+                attempt.retries - 1,
+            )
+
+    def find_end(self, attempt):
+        """Return the last try of a call."""
+        return self.find_end(attempt.again) if attempt.again else attempt
 
     def to_balancer(self, attempt, packet):
         when = self.now + CALLER_MS / 1000
@@ -340,6 +389,8 @@
             broken = attempt.opened_at is not None
             attempt.outcome = 'broken' if broken else 'refused'
             attempt.ended_at = self.now
+            if not broken:
+                self.retry(attempt)
         elif segment.accepts and attempt.opened_at is None:
             attempt.opened_at = self.now
             attempt.accepted = segment.sequence
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -466,3 +466,76 @@
     urgent = mean([one for one in context.calls if one.urgent])
     others = mean([one for one in context.calls if not one.urgent])
     assert urgent <= others / 2, (urgent, others)
+
+
+@when(
+    'callers with a deadline of {deadline:d} ms and {retries:d} retries load'
+    ' {part:d} of 100 slots for {length:d} s'
+)
+def plan_load(context, deadline, retries, part, length):
+    mesh = context.mesh
+    random = Random(3)
+    slots = sum(target.slots for target in mesh.targets.values())
+    rate = slots * part / 100 / 0.05
+    context.start = mesh.now
+    context.calls = []
+    names = list(mesh.balancers)
+
+    def call():
+        attempt = mesh.call(
+            random.choice(names),
+            random.expovariate(20),
+            deadline=mesh.now + deadline / 1000,
+            retries=retries,
+        )
+        context.calls.append(attempt)
+        if mesh.now < context.start + length:
+            mesh.at(mesh.now + random.expovariate(rate), call)
+
+    call()
+
+
+@when('nothing passes the balancers from {begin:d} s on for {length:f} s')
+def break_down(context, begin, length):
+    mesh = context.mesh
+    mesh.run(begin)
+    mesh.cut = set(mesh.balancers)
+    mesh.run(length)
+    mesh.cut = set()
+    context.back = mesh.now
+    mesh.run(12)
+
+
+@then(
+    'of the calls from {pause:f} s after the outage on, {part:d} of 100 are'
+    ' answered within {bound:d} ms'
+)
+def check_recovery(context, pause, part, bound):
+    since = context.back + pause
+    calls = [one for one in context.calls if one.began_at >= since]
+    ends = [(one, context.mesh.find_end(one)) for one in calls]
+    good = [
+        one
+        for one, end in ends
+        if end.outcome == 'answered'
+        and (end.ended_at - one.began_at) * 1000 <= bound
+    ]
+    assert len(good) * 100 >= part * len(calls), (len(good), len(calls))
+
+
+@then(
+    'of the calls during the last {length:f} s of the outage, {part:d} of'
+    ' 100 are answered'
+)
+def check_held(context, length, part):
+    calls = [
+        one
+        for one in context.calls
+        if context.back - length <= one.began_at < context.back
+    ]
+    good = [
+        one
+        for one in calls
+        if context.mesh.find_end(one).outcome == 'answered'
+    ]
+    assert len(good) * 100 >= part * len(calls), (len(good), len(calls))
