Serve what can still be prompt first, and wait for agents to be heard

Ruled out: agents (started as soon as balancers) and routes.

A balancer that has just started, or that does not hear agents it has heard of late, holds a new flow until one reports. A flow may wait for 0.9 of its timeout. Agents hand in what can still be prompt first; when more waits than can be served they give back the least promising.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -74,6 +74,7 @@
         this target to others
     :param budget_ms: longest wait that leaves the caller the time to open
         the flow and to get its answer
+    :param prompt_ms: what is left of the route's target latency
     :param priority: which flows wait least; 0 goes first
     :param packet: the opening packet
     """
@@ -81,6 +82,7 @@
     service: str
     patience_ms: float
     budget_ms: float
+    prompt_ms: float
     priority: int
     packet: bytes
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
@@ -43,10 +43,10 @@
 #: after 1,400, and what is left is for the ways and the handshake.
 WAIT_MAX_MS = 1200.0
 
-#: Share of a route's timeout that a flow may wait for a slot. Callers whose
-#: flow did not open try again with what is left of their time, so that a
-#: longer wait ends in answers that nobody waits for.
-BUDGET_SHARE = 0.5
+#: Share of a route's timeout that a flow may wait for a slot; the rest is for
+#: the answer. A refused caller tries again at once, and few times, so that a
+#: wait serves it better than a refusal.
+BUDGET_SHARE = 0.9
 
 
 @attrs.define
@@ -107,7 +107,6 @@
     route: Route,
     zone: str,
     tried: Collection[Address],
-    budget_ms: float,
     random: Random,
     now: float,
 ) -> Choice | None:
@@ -123,7 +122,6 @@
     :param route: route of the flow
     :param zone: availability zone of the balancer
     :param tried: agents that have declined the flow
-    :param budget_ms: longest wait that is of use to the caller
     :param random: settles ties
     :param now: time, in seconds
     :returns: the choice; ``None`` when no target may take the flow
@@ -139,9 +137,7 @@
                 view,
             )
             for view in views
-            if view.address not in tried
-            and _is_open(view, zone, now)
-            and _estimate(view) <= budget_ms
+            if view.address not in tried and _is_open(view, zone, now)
         ),
         key=lambda rank: rank[:4],
     )
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
@@ -216,7 +216,12 @@
     link = DatagramSocket(node.link)
     entry.open()
     link.open()
-    balancer = Balancer(node.zone, form, counts=metrics.counts)
+    balancer = Balancer(
+        node.zone,
+        form,
+        started_at=asyncio.get_running_loop().time(),
+        counts=metrics.counts,
+    )
     finder = Finder(node.zone, node.controls)
     send = build_sender(link)
     role = BalancerRole(settings, balancer, finder, entry, link, send, report)
--- a/tests/core/passthrough/flows.feature
+++ b/tests/core/passthrough/flows.feature
@@ -93,3 +93,13 @@
   Scenario: Rubbish is counted and answered by nothing
     When 200 random packets come to "b1" and to "a1"
     Then nothing is sent
+
+  Scenario: A caller is not refused while no agent has reported yet
+    Given a balancer "b3" in zone "x" that starts now with its routes
+    When a caller calls through "b3"
+    Then the call is answered within 350 ms
+
+  Scenario: A service without agents is refused at once
+    Given the routes lead to service "t"
+    When a caller calls through "b1"
+    Then the call is refused within 10 ms
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -539,3 +539,11 @@
         if context.mesh.find_end(one).outcome == 'answered'
     ]
     assert len(good) * 100 >= part * len(calls), (len(good), len(calls))
+
+
+@given('a balancer "{name}" in zone "{zone}" that starts now with its routes')
+def start_balancer(context, name, zone):
+    mesh = context.mesh
+    mesh.add_balancer(name, zone)
+    mesh.balancers[name].started_at = mesh.now
+    mesh.set_routes('s')
