Count a caller that has left no longer than it takes to open a flow

Flows that had waited for about a second are accepted by the target for callers that have given up, and each kept one of a target's three places for 0.3 s. The time is now three times the mean in which callers go on. A scenario of 20 callers that leave failed first: a further caller was refused after 1.2 s.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -64,15 +64,19 @@
 #: gives up after 1.4.
 OPENING_TIMEOUT = 1.6
 
-#: Time in which a caller goes on opening a flow, in seconds, as long as it is
-#: there: the ways, a lost packet and its repeat.
-HANDSHAKE_TIMEOUT = 0.3
+#: Multiple of the mean time in which callers go on opening a flow, after which
+#: a caller counts as gone: a flow that is not gone on with runs nothing.
+HANDSHAKE_MULTIPLE = 3.0
+
+#: Mean time in which callers go on opening a flow before the first one was
+#: measured, in seconds: the ways to callers and back over two zones.
+HANDSHAKE = 0.01
 
 #: Time for which a flow that has ended is still known, in seconds, for the
 #: packets that its ends send again.
 ENDED_TIMEOUT = 5.0
 
-#: Part of a new measurement in the mean time of a flow.
+#: Part of a new measurement in a mean time.
 SERVICE_TIME_GAIN = 0.1
 
 #: Mean time of a flow before the first one was measured, in milliseconds.
@@ -105,6 +109,7 @@
     :param balancer: who sent its last packet
     :param began_at: when its opening packet came
     :param touched_at: when its last packet went by, either way
+    :param accepted_at: when the target accepted it
     :param sequence: number with which the target accepted it
     :param served_at: when the caller's first data came
     :param opening: its opening packet, as long as it waits
@@ -116,6 +121,7 @@
     balancer: Address | None
     began_at: float
     touched_at: float
+    accepted_at: float = 0.0
     sequence: int = 0
     served_at: float | None = None
     opening: bytes = b''
@@ -158,6 +164,8 @@
     :param waiting: those that wait
     :param stopping: whether the process is going away
     :param counts: packets and decisions by name
+    :param service_ms: mean time that a flow occupies a slot
+    :param handshake: mean time in which callers go on opening, in seconds
     :param idle_timeout: after which an idle flow is forgotten, in seconds
     :param flow_age_max: longest life of a flow, in seconds
     """
@@ -176,6 +184,7 @@
     stopping: bool = False
     counts: Counter[str] = attrs.field(factory=Counter)
     service_ms: float = SERVICE_MS
+    handshake: float = HANDSHAKE
     _sequence: int = 0
     _silent_offers: int = 0
     _down_until: float = float('-inf')
@@ -285,6 +294,7 @@
         flow.touched_at = now
         if segment.accepts and flow.state is FlowState.OFFERED:
             flow.state = FlowState.ACCEPTED
+            flow.accepted_at = now
             flow.sequence = segment.sequence
         self.counts['packets_to_callers'] += 1
         actions = [DeliverToCaller(segment.flow, segment.raw)]
@@ -307,7 +317,8 @@
             return self._end_wait(key, flow, now)
         if flow.state is FlowState.OFFERED and age > ACCEPT_TIMEOUT:
             return self._give_up(key, flow, now)
-        if flow.state is FlowState.ACCEPTED and age > HANDSHAKE_TIMEOUT:
+        gone_after = self.handshake * HANDSHAKE_MULTIPLE
+        if flow.state is FlowState.ACCEPTED and age > gone_after:
             self._count(flow, False)
         if age > self._find_life(flow):
             self._drop(key, flow)
@@ -498,6 +509,8 @@
             return actions
         flow.touched_at = now
         if flow.state is FlowState.ACCEPTED:
+            took = min(now - flow.accepted_at, OPENING_TIMEOUT)
+            self.handshake += (took - self.handshake) * SERVICE_TIME_GAIN
             self._count(flow, True)
             flow.state = FlowState.OPEN
             opening_ms = round((now - flow.began_at) * 1000, 1)
--- a/tests/core/passthrough/placing.feature
+++ b/tests/core/passthrough/placing.feature
@@ -67,3 +67,8 @@
       | 2.0    | 50   | 1.2     | 90   |
       | 2.0    | 70   | 2.8     | 68   |
       | 4.0    | 70   | 2.8     | 68   |
+
+  Scenario: Callers who have left do not keep a target from serving others
+    Given 1 balancers in zone "x" with 1 agents whose targets queue 4
+    When 20 callers begin to open a flow and leave, and 10 others call after 5 ms
+    Then the others are answered within 600 ms
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -547,3 +547,23 @@
     mesh.add_balancer(name, zone)
     mesh.balancers[name].started_at = mesh.now
     mesh.set_routes('s')
+
+
+@when(
+    '{gone:d} callers begin to open a flow and leave, and {others:d} others'
+    ' call after {pause:d} ms'
+)
+def call_and_go(context, gone, others, pause):
+    mesh = context.mesh
+    left = [mesh.call('bx') for _ in range(gone)]
+    mesh.run(0.0015)
+    for attempt in left:
+        attempt.outcome = 'left'
+    mesh.run(pause / 1000)
+    context.calls = [mesh.call('bx') for _ in range(others)]
+    mesh.run(5)
+
+
+@then('the others are answered within {bound:d} ms')
+def check_others(context, bound):
+    check_answered(context, bound)
