--- /dev/null
+++ b/tests/platform/loopback.py
@@ -0,0 +1,277 @@
+"""The roles, callers and targets of the platform, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import count
+from pathlib import Path
+import shutil
+import socket
+import struct
+import tempfile
+
+import attrs
+from pistachiohook_core.addresses import Address
+from pistachiohook_core.metrics import Metrics
+from pistachiohook_daemon.keys import LinkKeys
+from pistachiohook_daemon.passthrough.agent import start_agent
+from pistachiohook_daemon.passthrough.balancer import start_balancer
+from pistachiohook_daemon.passthrough.control import start_control
+from pistachiohook_daemon.passthrough.settings import AgentSettings
+from pistachiohook_daemon.passthrough.settings import BalancerSettings
+from pistachiohook_daemon.passthrough.settings import ControlSettings
+from pistachiohook_daemon.passthrough.settings import NodeSettings
+from pistachiohook_daemon.supervisor import Supervisor
+from pistachiohook_platform.calls import serve_operator
+from pistachiohook_platform.calls import serve_target
+from pistachiohook_platform.packets import FORMAT
+from pistachiohook_platform.readiness import serve_readiness
+from tornado.httpclient import AsyncHTTPClient
+
+#: Longest wait for a condition that must come true, in seconds.
+PATIENCE = 30.0
+
+HEADER = struct.Struct('<IHHIIB5sIIHI')
+SYN, ACK, FIN = 8, 4, 2
+CALLER_HOST = '127.0.0.9'
+KEYS = LinkKeys(b'k' * 32)
+
+
+def find_address(kind=socket.SOCK_STREAM, host='127.0.0.1'):
+    """Return a free address; the system names the port."""
+    with socket.socket(socket.AF_INET, kind) as one:
+        one.bind((host, 0))
+        return Address(*one.getsockname())
+
+
+def number(host):
+    return int.from_bytes(socket.inet_aton(host), 'big')
+
+
+def build_packet(source, destination, flags, sequence, acknowledged, data=b''):
+    return (
+        HEADER.pack(
+            0,
+            destination[1],
+            source[1],
+            number(source[0]),
+            number(destination[0]),
+            flags,
+            b'',
+            sequence,
+            acknowledged,
+            len(data),
+            0xABCD,
+        )
+        + data
+    )
+
+
+class PacketTarget(asyncio.DatagramProtocol):
+    """A target that answers the first data of a flow and closes it."""
+
+    def __init__(self, name, outbound):
+        self.name = name
+        self.outbound = (outbound.host, outbound.port)
+        self.ran = []
+        self.flows = {}
+        self.numbers = count(1000)
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, _):
+        _, dport, sport, src, dst, flags, _, seq, _, length, _ = (
+            HEADER.unpack_from(data)
+        )
+        caller = (socket.inet_ntoa(src.to_bytes(4, 'big')), sport)
+        entry = (socket.inet_ntoa(dst.to_bytes(4, 'big')), dport)
+        if flags & SYN:
+            self.flows.setdefault(caller, next(self.numbers))
+            self.answer(entry, caller, SYN | ACK, seq + 1)
+        elif caller not in self.flows:
+            returned = data[:16] + bytes((flags | 1,)) + data[17:]
+            self.transport.sendto(returned, self.outbound)
+        elif length:
+            self.ran.append(caller)
+            body = self.name.encode()
+            self.answer(entry, caller, ACK | FIN, seq + length, body)
+
+    def answer(self, entry, caller, flags, acknowledged, data=b''):
+        packet = build_packet(
+            entry, caller, flags, self.flows[caller], acknowledged, data
+        )
+        self.transport.sendto(packet, self.outbound)
+
+
+class PacketCaller(asyncio.DatagramProtocol):
+    """Callers of one host; each call is a flow with one request."""
+
+    def __init__(self):
+        self.ports = count(20_000)
+        self.waiting = {}
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, _):
+        _, dport, _, _, _, flags, _, seq, _, _, _ = HEADER.unpack_from(data)
+        waiting = self.waiting.get(dport)
+        if waiting is not None:
+            waiting.put_nowait((flags, seq, data[HEADER.size :]))
+
+    async def call(self, balancer, entry):
+        """Return the answer; ``None`` when the flow was reset."""
+        source = (CALLER_HOST, next(self.ports))
+        inbox = self.waiting[source[1]] = asyncio.Queue()
+        for repeat, wait in enumerate((0.2, 0.4, 0.8)):
+            opening = build_packet(source, entry, SYN, 7, repeat)
+            self.transport.sendto(opening, (balancer.host, balancer.port))
+            try:
+                async with asyncio.timeout(wait):
+                    flags, seq, _ = await inbox.get()
+                break
+            except TimeoutError:
+                continue
+        else:
+            return ''
+        if flags & 128:
+            return None
+        request = build_packet(source, entry, ACK, 8, seq + 1, b'request')
+        self.transport.sendto(request, (balancer.host, balancer.port))
+        async with asyncio.timeout(PATIENCE):
+            while True:
+                flags, _, body = await inbox.get()
+                if flags & FIN:
+                    return body.decode()
+
+
+@attrs.define(eq=False)
+class Loopback:
+    """Everything on one loop."""
+
+    loop: object = attrs.field(factory=asyncio.new_event_loop)
+    folder: Path = attrs.field(factory=lambda: Path(tempfile.mkdtemp()))
+    controls: dict = attrs.field(factory=dict)
+    operators: dict = attrs.field(factory=dict)
+    supervisors: dict = attrs.field(factory=dict)
+    balancers: dict = attrs.field(factory=dict)
+    readiness: dict = attrs.field(factory=dict)
+    agents: dict = attrs.field(factory=dict)
+    targets: dict = attrs.field(factory=dict)
+    calls: dict = attrs.field(factory=dict)
+    seeds: tuple = ()
+    peers: tuple = ()
+    caller: object = None
+    beats: object = attrs.field(factory=lambda: count(1))
+    events: list = attrs.field(factory=list)
+
+    def call(self, coroutine):
+        return self.loop.run_until_complete(
+            asyncio.wait_for(coroutine, PATIENCE)
+        )
+
+    def wait(self, condition):
+        async def poll():
+            while not condition():
+                await asyncio.sleep(0.02)
+
+        self.call(poll())
+
+    def report(self, event, **fields):
+        self.events.append((event.number, fields))
+
+    def node(self, name, link):
+        return NodeSettings(name, 'x', link, self.seeds, find_address(), 1.0)
+
+    async def start_controls(self, names):
+        self.seeds = tuple(find_address(socket.SOCK_DGRAM) for _ in names)
+        self.peers = tuple(find_address() for _ in names)
+        for name, link, peer in zip(
+            names, self.seeds, self.peers, strict=True
+        ):
+            supervisor = self.supervisors[name] = Supervisor(name, self.report)
+            settings = ControlSettings(
+                self.node(name, link),
+                str(self.folder / name),
+                peer,
+                self.peers,
+                find_address(),
+                1,
+                True,
+            )
+            role = start_control(settings, KEYS, supervisor, self.report)
+            self.operators[name] = find_address()
+            serve_operator(self.operators[name], role, self.report)
+            self.controls[name] = role
+
+    async def start_balancer(self, name):
+        entry = find_address(socket.SOCK_DGRAM)
+        if self.caller is not None:
+            entry = Address(f'127.0.0.{2 + len(self.balancers)}', self.port)
+        settings = BalancerSettings(
+            self.node(name, find_address(socket.SOCK_DGRAM)), entry
+        )
+        supervisor = self.supervisors[name] = Supervisor(name, self.report)
+        role = start_balancer(
+            settings, FORMAT, supervisor, Metrics(), self.report
+        )
+        self.balancers[name] = role
+        self.readiness[name] = find_address()
+        serve_readiness(self.readiness[name], role.find_health, self.report)
+        if self.caller is None:
+            _, self.caller = await self.loop.create_datagram_endpoint(
+                PacketCaller, local_addr=(CALLER_HOST, self.port)
+            )
+
+    @property
+    def port(self):
+        """Port at which callers receive; balancers have the same."""
+        return next(iter(self.balancers.values())).settings.entry.port
+
+    async def start_agent(self, name):
+        target = find_address(socket.SOCK_DGRAM)
+        settings = AgentSettings(
+            self.node(name, find_address(socket.SOCK_DGRAM)),
+            's',
+            find_address(socket.SOCK_DGRAM),
+            target,
+            self.port,
+            60.0,
+        )
+        supervisor = self.supervisors[name] = Supervisor(name, self.report)
+        role = start_agent(
+            settings, FORMAT, supervisor, Metrics(), self.report
+        )
+        self.agents[name] = role
+        self.calls[name] = find_address()
+        serve_target(self.calls[name], role, self.report)
+        _, self.targets[name] = await self.loop.create_datagram_endpoint(
+            lambda: PacketTarget(name, settings.outbound),
+            local_addr=(target.host, target.port),
+        )
+
+    async def post(self, address, path, body):
+        return await AsyncHTTPClient().fetch(
+            f'http://{address}{path}',
+            method='POST',
+            body=body,
+            raise_error=False,
+        )
+
+    async def get(self, address, path):
+        return await AsyncHTTPClient().fetch(
+            f'http://{address}{path}', raise_error=False
+        )
+
+    async def stop(self, name):
+        await self.supervisors.pop(name).cancel()
+
+    async def stop_all(self):
+        for name in list(self.supervisors):
+            await self.stop(name)
+
+    def close(self):
+        self.call(self.stop_all())
+        self.loop.close()
+        shutil.rmtree(self.folder)
