Accept the first route set only once all voters have joined

The first order had been accepted by two voters before the third had joined; with one of the two gone there was no quorum for ever. Ruled out: links (the rest answered each other) and election timing.

The first command now waits for all voters that the cluster keeps; later ones are still taken while a lost voter is replaced. A scenario with a voter that is slow to join failed first.

--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/replication.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replication.py
@@ -211,10 +211,24 @@
 
 
 def _has_too_few_voters(replica: Replica) -> bool:
+    """Tell whether a change would not outlive the losses to be borne.
+
+    The first change waits for all voters. Later ones are taken while a lost
+    one is replaced.
+    """
     membership = replica.membership
-    if replica.growth is not None:
-        return membership.quorum <= replica.growth.tolerance
-    return len(membership.voters) <= len(replica.instances) // 2
+    if replica.growth is None:
+        return len(membership.voters) <= len(replica.instances) // 2
+    if not _holds_command(replica):
+        return len(membership.voters) < replica.growth.voters
+    return membership.quorum <= replica.growth.tolerance
+
+
+def _holds_command(replica: Replica) -> bool:
+    log = replica.log
+    return log.snapshot.index > 0 or any(
+        entry.kind is EntryKind.COMMAND for entry in log.entries
+    )
 
 
 def _follow_membership(replica: Replica, now: float) -> None:
--- a/tests/core/consensus/growth.feature
+++ b/tests/core/consensus/growth.feature
@@ -17,6 +17,11 @@
     When the others start
     Then a change is accepted within 8 seconds
 
+  Scenario: The first change is accepted only once its loss of a voter could be borne
+    Given 3 instances with 3 seeds, tolerating the loss of 1, of which 3 run
+    When the last voter is slow to join, the first change is accepted and the leader is killed at once
+    Then within 8 seconds a leader accepts a further change
+
   Scenario: An instance that starts anew with an empty disk never founds a cluster
     Given 3 instances with 3 seeds, tolerating the loss of 1
     When all lose their disks, and are not at their first start
--- a/tests/core/consensus/steps/growth_steps.py
+++ b/tests/core/consensus/steps/growth_steps.py
@@ -69,7 +69,8 @@
     context.later = NAMES[running:size]
     for name in NAMES[:running]:
         context.cluster.start(name)
-    context.cluster.run(5)
+    if context.later:
+        context.cluster.run(5)
 
 
 @when('the others start')
@@ -246,3 +247,38 @@
         cluster.lose_disk(name)
     for name in running:
         cluster.start(name)
+
+
+@when(
+    'the last voter is slow to join, the first change is accepted and the'
+    ' leader is killed at once'
+)
+def accept_first(context):
+    cluster = context.cluster
+    end = cluster.now + 20
+    slow_until = None
+    while not cluster.accepted:
+        assert cluster.now < end
+        leader = cluster.find_leader()
+        if leader:
+            cluster.propose(leader)
+            replica = cluster.instances[leader].process.replica
+            if slow_until is None and len(replica.membership.voters) == 2:
+                slow_until = cluster.now + 3
+                cluster.split(find_learner(cluster, replica))
+        if slow_until is not None and cluster.now > slow_until:
+            cluster.heal()
+        cluster.tick()
+        for _ in range(len(cluster.flying)):
+            cluster.deliver()
+    cluster.heal()
+    cluster.kill(cluster.find_leader())
+
+
+def find_learner(cluster, replica):
+    """Return the instance that does not vote yet."""
+    return next(
+        name
+        for name in list_running(cluster)
+        if cluster.instances[name].identity not in replica.membership.voters
+    )
