Explain a flow from log lines, and test logs, links and the HTTP server

pistachiohook explain reads the collected lines of several processes and names the cause of a refused, unanswered or late flow. docs/OPERATIONS.md shows the ways. Tests for the bounds of the logs, for connections that go silent, and for the HTTP server; one of them failed first: a call whose path ended in a slash reached the handler without a name.

--- a/packages/pistachiohook-cli/src/pistachiohook_cli/main.py
+++ b/packages/pistachiohook-cli/src/pistachiohook_cli/main.py
@@ -11,6 +11,7 @@
 from .configuration import apply
 from .configuration import check
 from .configuration import show
+from .explanation import explain
 from .nodes import control_members
 from .nodes import drain
 from .nodes import status
@@ -28,7 +29,7 @@
 )
 control = App(name='control', help='Look at the control instances.')
 app.command(control)
-for command in (check, apply, show, status, targets, drain):
+for command in (check, apply, show, status, targets, drain, explain):
     app.command(command)
 control.command(control_members, name='members')
 setup_burn(app)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/serving.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/serving.py
@@ -37,7 +37,7 @@
 class Question:
     """A request.
 
-    :param name: rest of the path, where the route's path ends in a slash
+    :param name: last part of the path
     :param body: the body
     """
 
@@ -76,7 +76,7 @@
 
     :param address: where to listen
     :param routes: function for each ``METHOD /path``; a path that ends in a
-        slash takes every longer one
+        slash stands for every path with one part more
     :param report: logs a handler's unexpected error
     :raises OSError: when the address can't be bound
     """
@@ -131,12 +131,12 @@
 async def _find_answer(
     request: HTTPServerRequest, routes: Mapping[str, Handler]
 ) -> Answer:
-    path, name = request.path, ''
-    handler = routes.get(f'{request.method} {path}')
-    if handler is None:
-        head, _, name = path.rpartition('/')
-        path = f'{head}/'
-        handler = routes.get(f'{request.method} {path}') if name else None
+    head, _, name = request.path.rpartition('/')
+    if not name:
+        return Answer(404)
+    handler = routes.get(f'{request.method} {request.path}') or routes.get(
+        f'{request.method} {head}/'
+    )
     if handler is None:
         return Answer(404)
     answer = handler(Question(name, request.body or b''))
