Take a start that seems earlier when the time of day has jumped back

Found by reading: both an agent and a balancer ordered starts by the time of day. A target that started while its machine's clock was behind was never used again, and the load of an agent that restarted so was never taken, while its reports kept it from being forgotten: a balancer went on with the last load of the former start, which said that it was leaving.

An agent now takes a target with an earlier start once the known one has been silent for 3 s; a balancer takes the load of any other start. Both scenarios failed first; a third holds that late reports of a former start displace nobody. A balancer's timer now moves forward when something is due earlier.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -60,6 +60,10 @@
 #: served, and what is not is refused at once.
 QUEUE_SHARE = 0.75
 
+#: Silence of a target after which one that seems to have started earlier is
+#: taken for its successor, in seconds: more than two of its reports.
+TARGET_SILENCE = 3.0
+
 #: Life of a flow that a caller does not go on opening, in seconds; a caller
 #: gives up after 1.4.
 OPENING_TIMEOUT = 1.6
@@ -186,6 +190,7 @@
     service_ms: float = SERVICE_MS
     handshake: float = HANDSHAKE
     _sequence: int = 0
+    _announced_at: float = float('-inf')
     _silent_offers: int = 0
     _down_until: float = float('-inf')
 
@@ -216,49 +221,49 @@
             return TargetState.DOWN
         return TargetState.READY
 
-    def announce_target(self, target: TargetView) -> list[Action]:
+    def announce_target(self, target: TargetView, now: float) -> list[Action]:
         """Take what the target says of itself.
 
         What an earlier start of it says late, or it says late itself, is
-        dropped.
+        dropped. A start that seems earlier is taken when the known one says
+        nothing any more: the time of day may have jumped back.
         """
         known = self.target
-        if known is not None:
-            same = known.born == target.born
-            if target.born < known.born:
-                return []
-            if same and target.sequence <= known.sequence:
-                return []
-            if same and known.leaving:
-                target.leaving = True
-        if known is None or known.born != target.born:
-            self._start_anew(known is not None)
-        changed = known is None or (
-            (known.born, known.leaving) != (target.born, target.leaving)
-        )
-        self.target = target
-        if not changed:
+        if known is not None and self._is_outdated(target, known, now):
             return []
-        fields = {
-            'target': target.name,
-            'born': target.born,
-            'leaving': target.leaving,
-            'slots': target.slots,
-        }
-        return [Log(TARGET_CHANGED, fields)]
+        self._announced_at = now
+        restarted = known is not None and known.born != target.born
+        if restarted:
+            self._start_anew()
+        elif known is not None and known.leaving:
+            target.leaving = True
+        self.target = target
+        same = known is not None and known.leaving == target.leaving
+        return [] if same and not restarted else [self._log_target(target)]
+
+    def _is_outdated(
+        self, target: TargetView, known: TargetView, now: float
+    ) -> bool:
+        if target.born == known.born:
+            return target.sequence <= known.sequence
+        silent = now - self._announced_at > TARGET_SILENCE
+        return target.born < known.born and not silent
 
     def withdraw_target(self, name: str) -> list[Action]:
         """Take that the target is going away."""
         if self.target is None or self.target.name != name:
             return []
         self.target.leaving = True
+        return [self._log_target(self.target)]
+
+    def _log_target(self, target: TargetView) -> Log:
         fields = {
-            'target': name,
-            'born': self.target.born,
-            'leaving': True,
-            'slots': self.target.slots,
+            'target': target.name,
+            'born': target.born,
+            'leaving': target.leaving,
+            'slots': target.slots,
         }
-        return [Log(TARGET_CHANGED, fields)]
+        return Log(TARGET_CHANGED, fields)
 
     def receive_message(
         self, sender: Address, message: object, now: float
@@ -379,9 +384,8 @@
             return ENDED_TIMEOUT
         return self.idle_timeout
 
-    def _start_anew(self, restarted: bool) -> None:
-        if not restarted:
-            return
+    def _start_anew(self) -> None:
+        """Forget the flows of the target's former start."""
         self.flows.clear()
         self.waiting.clear()
         self.busy = 0
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -437,8 +437,9 @@
         view.offered.discard(flow)
         view.suspect = False
         view.heard_at = now
-        known = (view.load.started, view.load.sequence)
-        if (load.started, load.sequence) >= known:
+        # A start that seems earlier counts too: the time of day may jump back.
+        restarted = load.started != view.load.started
+        if restarted or load.sequence >= view.load.sequence:
             view.load = load
 
     def _drop_view(self, address: Address) -> None:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
@@ -101,7 +101,7 @@
 
     def announce_target(self, target: TargetView) -> None:
         """Take what the target says of itself."""
-        self._carry_out(self.agent.announce_target(target))
+        self._carry_out(self.agent.announce_target(target, self._now()))
         self._watch_state()
 
     def withdraw_target(self, name: str) -> None:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
@@ -184,10 +184,13 @@
 
     def _set_timer(self) -> None:
         due = self.balancer.find_due()
-        if due is None or self._timer is not None:
-            return
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_at(due, self._expire)
+        if self._timer is not None:
+            if due is None or due >= self._timer.when():
+                return
+            self._timer.cancel()
+        if due is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(due, self._expire)
 
     def _expire(self) -> None:
         self._timer = None
--- a/tests/core/passthrough/flows.feature
+++ b/tests/core/passthrough/flows.feature
@@ -103,3 +103,18 @@
     Given the routes lead to service "t"
     When a caller calls through "b1"
     Then the call is refused within 10 ms
+
+  Scenario: A target that starts while its clock has jumped back is used in the end
+    Given the target of "a1" has started anew at 5000
+    When the target of "a1" starts with a clock that says 2600 and reports for 5 s
+    Then the target of "a1" takes new flows as the one born at 2600
+
+  Scenario: Reports of an earlier start that come late do not displace a target that reports
+    Given the target of "a1" has started anew at 5000
+    When 4 late reports of the target of "a1" born at 2600 come between its own
+    Then the target of "a1" takes new flows as the one born at 5000
+
+  Scenario: An agent that starts while its clock has jumped back is heard
+    Given agent "a1" has said that it is stopping
+    When agent "a1" starts with a clock that is 2.4 s behind its former start
+    Then "b1" knows that agent "a1" takes new flows
--- a/tests/core/passthrough/mesh.py
+++ b/tests/core/passthrough/mesh.py
@@ -186,7 +186,7 @@
             leaving,
             0.0,
         )
-        self.agents[name].announce_target(view)
+        self.agents[name].announce_target(view, self.now)
 
     def report(self, name, agent):
         if self.agents.get(name) is not agent:
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -567,3 +567,64 @@
 @then('the others are answered within {bound:d} ms')
 def check_others(context, bound):
     check_answered(context, bound)
+
+
+@when(
+    'the target of "{name}" starts with a clock that says {born:d} and'
+    ' reports for {seconds:d} s'
+)
+def start_back(context, name, born, seconds):
+    for number in range(seconds):
+        context.mesh.beat(name, born, sequence=number + 1)
+        context.mesh.run(1.2)
+
+
+@when(
+    '{number:d} late reports of the target of "{name}" born at {born:d} come'
+    ' between its own'
+)
+def report_late(context, number, name, born):
+    for sequence in range(number):
+        context.mesh.beat(name, born, sequence=100 + sequence)
+        context.mesh.run(0.6)
+        context.mesh.beat(name, 5000)
+        context.mesh.run(0.6)
+
+
+@then('the target of "{name}" takes new flows as the one born at {born:d}')
+def takes_as(context, name, born):
+    takes(context, name)
+    assert context.mesh.agents[name].target.born == born
+
+
+@given('agent "{name}" has said that it is stopping')
+def say_stopping(context, name):
+    mesh = context.mesh
+    mesh.agents[name].stopping = True
+    mesh.run(0.5)
+    assert find_load(context, 'b1', name).state is TargetState.LEAVING
+
+
+@when(
+    'agent "{name}" starts with a clock that is {seconds:f} s behind its'
+    ' former start'
+)
+def start_agent_back(context, name, seconds):
+    mesh = context.mesh
+    former = mesh.agents.pop(name)
+    mesh.run(0.5)
+    mesh.start_agent(name)
+    mesh.agents[name].started = former.started - int(seconds * 1000)
+    mesh.beat(name, 2)
+    mesh.run(0.5)
+
+
+def find_load(context, balancer, agent):
+    mesh = context.mesh
+    views = mesh.balancers[balancer].views['s']
+    return views[mesh.address(agent)].load
+
+
+@then('"{balancer}" knows that agent "{name}" takes new flows')
+def knows_ready(context, balancer, name):
+    assert find_load(context, balancer, name).state is TargetState.READY
