--- /dev/null
+++ b/tests/platform/steps/process_steps.py
@@ -0,0 +1,165 @@
+"""Steps on the platform's processes."""
+
+from __future__ import annotations
+
+import json
+import os
+from pathlib import Path
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+
+from behave import given
+from behave import then
+from behave import when
+
+#: Longest wait for the end of a process, in seconds.
+PATIENCE = 30.0
+
+HOST = '127.0.0.1'
+
+
+def find_port(kind=socket.SOCK_STREAM):
+    with socket.socket(socket.AF_INET, kind) as one:
+        one.bind((HOST, 0))
+        return one.getsockname()[1]
+
+
+def find_range(size):
+    """Return the first of as many ports that are free for TCP and UDP."""
+    while True:
+        first = find_port()
+        try:
+            for port in range(first, first + size):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    with socket.socket(socket.AF_INET, kind) as one:
+                        one.bind((HOST, port))
+        except OSError:
+            continue
+        return first
+
+
+@given('the settings file of a {role} on loopback')
+def write_settings(context, role):
+    context.folder = Path(tempfile.mkdtemp())
+    context.add_cleanup(shutil.rmtree, context.folder)
+    context.role = role
+    first = find_range(16)
+    udp = socket.SOCK_DGRAM
+    context.settings = {
+        'NodeId': 'node-1',
+        'Ip': HOST,
+        'Zone': 'x',
+        'Listen': {
+            'DatagramAddr': f'{HOST}:{find_port(udp)}',
+            'ReadinessAddr': f'{HOST}:{find_port()}',
+            'Control': f'{HOST}:{find_port()}',
+            'outbound': f'{HOST}:{find_port(udp)}',
+        },
+        'InternalPorts': [first, first + 15],
+        'Seeds': [f'{HOST}:8166'],
+        'Bootstrap': True,
+        'DataDir': str(context.folder / 'data'),
+        'Bounds': {'GraceS': 2},
+        'Service': 's',
+        'app': f'{HOST}:{find_port(udp)}',
+    }
+    write(context)
+
+
+def write(context):
+    """Put the file in place as a whole."""
+    new = context.folder / 'new'
+    new.write_text(json.dumps(context.settings))
+    new.rename(context.folder / 'node.json')
+
+
+def start(context, *arguments):
+    return subprocess.Popen(
+        [sys.executable, '-m', 'pistachiohook_platform', *arguments],
+        env={
+            **os.environ,
+            'PISTACHIOHOOK_BOOT': str(context.folder / 'node.json'),
+        },
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def end(process):
+    process.kill()
+    process.communicate()
+
+
+@when('its process is started')
+def start_process(context):
+    context.process = start(context, context.role)
+    context.add_cleanup(end, context.process)
+
+
+def read_until(context, number):
+    """Return the first line of an event, from here on."""
+    for text in context.process.stdout:
+        line = json.loads(text)
+        if line['event'] == number:
+            return line
+    raise AssertionError(context.process.stderr.read())
+
+
+@then('it logs event {number:d}')
+def check_event(context, number):
+    line = read_until(context, number)
+    assert line['role'] == context.role
+    assert line['instance'] == 'node-1'
+
+
+@when('the seeds in the file change, with a signal')
+def change_seeds(context):
+    context.settings['Seeds'] = [f'{HOST}:8167']
+    write(context)
+    context.process.send_signal(signal.SIGHUP)
+
+
+@when('the file is cut short, without a signal')
+def cut_file(context):
+    new = context.folder / 'new'
+    new.write_text(json.dumps(context.settings)[:-30])
+    new.rename(context.folder / 'node.json')
+
+
+@when('it gets SIGTERM')
+def terminate(context):
+    context.process.terminate()
+
+
+@then(
+    'it logs event {one:d} and event {two:d} and ends with status {status:d}'
+)
+def check_end(context, one, two, status):
+    read_until(context, one)
+    read_until(context, two)
+    assert context.process.wait(PATIENCE) == status
+
+
+@when('a process with {fault} is started')
+def start_faulty(context, fault):
+    arguments = {
+        'no role': (),
+        'an unknown role': ('other',),
+        'an unread file': ('balancer',),
+    }[fault]
+    if fault == 'an unread file':
+        (context.folder / 'node.json').unlink()
+    context.process = start(context, *arguments)
+    context.add_cleanup(end, context.process)
+
+
+@then('it ends with status {status:d} and says "{part}"')
+def check_fault(context, status, part):
+    _, errors = context.process.communicate(timeout=PATIENCE)
+    assert context.process.returncode == status
+    assert part in errors, errors
