--- a/tests/platform/process.feature
+++ b/tests/platform/process.feature
@@ -27,3 +27,6 @@
       | no role          | usage         |
       | an unknown role  | usage         |
       | an unread file   | read settings |
+
+  Scenario: A change of the settings during the imports does not end a process
+    Then SIGHUP is ignored before the first import of a role
--- a/tests/platform/steps/process_steps.py
+++ b/tests/platform/steps/process_steps.py
@@ -163,3 +163,21 @@
     _, errors = context.process.communicate(timeout=PATIENCE)
     assert context.process.returncode == status
     assert part in errors, errors
+
+
+@then('SIGHUP is ignored before the first import of a role')
+def check_ignored(context):
+    program = (
+        'import signal, sys\n'
+        "sys.modules['pistachiohook_platform.main'] = None\n"
+        'try:\n'
+        '    import pistachiohook_platform.__main__\n'
+        'except ImportError:\n'
+        '    pass\n'
+        'ignored = signal.getsignal(signal.SIGHUP) is signal.SIG_IGN\n'
+        'sys.exit(0 if ignored else 1)\n'
+    )
+    finished = subprocess.run(
+        [sys.executable, '-c', program], check=False, timeout=PATIENCE
+    )
+    assert finished.returncode == 0
