Trace the scenario that failed once: applied comes before current

Cause: a node counts as in force once it has said that it applies a revision; a linearizable read marks it current afterwards. Shown without the roles' timing by the scenario 'A node serves once a linearizable read has shown it current': without reads the node applies the newest revision, counts as in force and does not serve.

Ruled out: a lower revision at the node (the count in force comes from its own heartbeat).

Conclusion: the state is allowed; a node that is not current does not serve.

--- a/tests/core/membership/membership.feature
+++ b/tests/core/membership/membership.feature
@@ -7,6 +7,8 @@
     When node "n" starts
     And 0.2 seconds pass without linearizable reads
     Then node "n" applies the newest revision and does not serve
+    When 1.2 seconds pass without linearizable reads
+    Then the newest revision counts as in force at node "n", not serving
     When 1.5 seconds pass
     Then node "n" serves
 
--- a/tests/core/membership/steps/membership_steps.py
+++ b/tests/core/membership/steps/membership_steps.py
@@ -97,6 +97,14 @@
     assert not node.subscription.current
 
 
+@then('the newest revision counts as in force at node "{name}", not serving')
+def compare_applied_unproved(context, name):
+    state = context.world.list_connected()[0].holder.state
+    rollout = measure_rollout(state, state.configuration)
+    assert rollout.in_force == rollout.nodes == 1, rollout
+    compare_unproved(context, name)
+
+
 @then('node "{name}" serves')
 def compare_serving(context, name):
     assert context.world.find_node(name).subscription.current
