--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/changes.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/changes.py
@@ -44,7 +44,11 @@
         return
     for instance in _other_instances(replica):
         message = Join(
-            replica.cluster, replica.identity, '', replica.hard_state.term
+            replica.cluster,
+            replica.identity,
+            '',
+            replica.hard_state.term,
+            replica.is_durable,
         )
         replica.outbox.append(Send(instance, message))
 
@@ -57,7 +61,7 @@
         known = replica.growth is not None or instance in replica.instances
         own = instance == name_instance(replica.identity)
         if known and not own:
-            replica.joiners[message.sender] = None
+            replica.joiners[message.sender] = message.durable
     answer = JoinAnswer(
         replica.cluster,
         replica.identity,
@@ -66,6 +70,7 @@
         blank=not replica.cluster,
         retired=retired,
         instances=tuple(map(name_instance, replica.membership.members)),
+        durable=replica.is_durable,
     )
     replica.outbox.append(Send(instance, answer))
 
@@ -75,6 +80,8 @@
     instance = name_instance(message.sender)
     if replica.growth is not None:
         replica.known.update(message.instances)
+    if not message.durable:
+        replica.diskless.add(instance)
     if message.retired:
         replica.outbox.append(Retired())
     elif message.blank:
@@ -111,10 +118,13 @@
 
 
 def _may_found(replica: Replica) -> bool:
-    if replica.growth is not None and not replica.growth.may_found:
+    growth = replica.growth
+    if growth is not None and not (growth.may_found and growth.durable):
         return False
-    first = min(replica.instances) == name_instance(replica.identity)
-    return first and replica.blank.issuperset(_other_instances(replica))
+    if not replica.blank.issuperset(_other_instances(replica)):
+        return False
+    able = set(replica.instances).difference(replica.diskless)
+    return min(able) == name_instance(replica.identity)
 
 
 def _found(replica: Replica) -> None:
@@ -129,9 +139,12 @@
     replica: Replica, membership: Membership, now: float
 ) -> Membership | None:
     for joiner in tuple(replica.joiners):
-        del replica.joiners[joiner]
-        if joiner not in membership.members + membership.retired:
+        durable = replica.joiners.pop(joiner)
+        if joiner in membership.members + membership.retired:
+            continue
+        if durable:
             return _add_learner(membership, joiner)
+        return _add_observer(membership, joiner)
     for learner in membership.learners:
         if _is_caught_up(replica, learner, now) and not _is_taken(
             replica, learner, now
@@ -169,17 +182,17 @@
             replica, membership.voters, replica.timing.election_max, now
         )
         if silent:
-            voters = tuple(
-                voter for voter in membership.voters if voter != silent[0]
-            )
+            voters = _leave_out(membership.voters, silent[:1])
             return attrs.evolve(membership, voters=voters)
-    gone = _list_silent(replica, membership.learners, LEARNER_TIMEOUT, now)
-    if gone:
-        learners = tuple(
-            learner for learner in membership.learners if learner not in gone
-        )
-        return attrs.evolve(membership, learners=learners)
-    return None
+    learning = membership.learners + membership.observers
+    gone = _list_silent(replica, learning, LEARNER_TIMEOUT, now)
+    if not gone:
+        return None
+    return attrs.evolve(
+        membership,
+        learners=_leave_out(membership.learners, gone),
+        observers=_leave_out(membership.observers, gone),
+    )
 
 
 def _list_silent(
@@ -200,9 +213,7 @@
         for learner in membership.learners
         if name_instance(learner) == instance
     )
-    kept = tuple(
-        learner for learner in membership.learners if learner not in replaced
-    )
+    kept = _leave_out(membership.learners, replaced)
     return attrs.evolve(
         membership,
         learners=(*kept, joiner),
@@ -210,6 +221,29 @@
     )
 
 
+def _add_observer(membership: Membership, joiner: str) -> Membership:
+    """Let an instance without a disk learn, as it has started now.
+
+    Its former identities held nothing that counts and need no retirement.
+    """
+    instance = name_instance(joiner)
+    former = tuple(
+        observer
+        for observer in membership.observers
+        if name_instance(observer) == instance
+    )
+    kept = _leave_out(membership.observers, former)
+    return attrs.evolve(membership, observers=(*kept, joiner))
+
+
+def _leave_out(
+    identities: tuple[str, ...], left_out: tuple[str, ...]
+) -> tuple[str, ...]:
+    return tuple(
+        identity for identity in identities if identity not in left_out
+    )
+
+
 def _take_in(membership: Membership, learner: str) -> Membership:
     """Remove the instance's lost identity, or else let the new one vote."""
     instance = name_instance(learner)
@@ -221,17 +255,13 @@
     if lost:
         return attrs.evolve(
             membership,
-            voters=tuple(
-                voter for voter in membership.voters if voter not in lost
-            ),
+            voters=_leave_out(membership.voters, lost),
             retired=_retire(membership, lost),
         )
     return attrs.evolve(
         membership,
         voters=(*membership.voters, learner),
-        learners=tuple(
-            other for other in membership.learners if other != learner
-        ),
+        learners=_leave_out(membership.learners, (learner,)),
     )
 
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/entries.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/entries.py
@@ -25,16 +25,18 @@
     :param voters: replicas that count towards a quorum
     :param learners: replicas that get the log and do not vote
     :param retired: identities that are never let in again, oldest first
+    :param observers: learners without a disk, which never vote
     """
 
     voters: tuple[str, ...] = ()
     learners: tuple[str, ...] = ()
     retired: tuple[str, ...] = ()
+    observers: tuple[str, ...] = ()
 
     @property
     def members(self) -> tuple[str, ...]:
         """All replicas, voters first."""
-        return self.voters + self.learners
+        return self.voters + self.learners + self.observers
 
     @property
     def quorum(self) -> int:
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/messages.py
@@ -141,7 +141,12 @@
 
 @attrs.frozen
 class Join(Message):
-    """Asks to be let in; sent by a replica that is no member."""
+    """Asks to be let in; sent by a replica that is no member.
+
+    :param durable: whether what the sender saves outlives a loss of power
+    """
+
+    durable: bool = True
 
 
 @attrs.frozen
@@ -151,11 +156,13 @@
     :param blank: whether the sender belongs to no cluster
     :param retired: whether the asker's identity is never let in again
     :param instances: names of the members' instances
+    :param durable: whether what the sender saves outlives a loss of power
     """
 
     blank: bool
     retired: bool
     instances: tuple[str, ...] = ()
+    durable: bool = True
 
 
 #: Messages between replicas.
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
@@ -54,10 +54,13 @@
     :param tolerance: voters whose disks may be lost at the same time
     :param may_found: whether this instance may found a cluster; only when
         the whole system starts for the first time
+    :param durable: whether what this instance saves outlives a loss of
+        power; one without a disk learns and never votes
     """
 
     tolerance: int
     may_found: bool = False
+    durable: bool = True
 
     @property
     def voters(self) -> int:
@@ -129,8 +132,10 @@
         began
     :param own_reads: number of reads made for the freshness
     :param proof_at: start of the newest read or round with a quorum behind it
-    :param joiners: identities that ask to be let in
+    :param joiners: identities that ask to be let in, and whether what they
+        save outlives a loss of power
     :param blank: names of instances that said they belong to no cluster
+    :param diskless: names of instances that said they have no disk
     :param known: names of further instances, from answers of others
     :param unsaved: entries that the next :class:`Persist` holds
     :param dirty: whether anything must be saved
@@ -162,8 +167,9 @@
     ready_reads: dict[int, tuple[int, float]] = attrs.field(factory=dict)
     own_reads: int = 0
     proof_at: float = float('-inf')
-    joiners: dict[str, None] = attrs.field(factory=dict)
+    joiners: dict[str, bool] = attrs.field(factory=dict)
     blank: set[str] = attrs.field(factory=set)
+    diskless: set[str] = attrs.field(factory=set)
     known: set[str] = attrs.field(factory=set)
     growth: Growth | None = None
     unsaved: tuple[Entry, ...] = ()
@@ -181,6 +187,11 @@
         """Whether this replica counts towards a quorum."""
         return self.identity in self.membership.voters
 
+    @property
+    def is_durable(self) -> bool:
+        """Whether what this replica saves outlives a loss of power."""
+        return self.growth is None or self.growth.durable
+
 
 def create_replica(
     saved: Saved,
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/disk.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/disk.py
@@ -89,6 +89,39 @@
         return self._descriptors[name]
 
 
+def keep_in_memory() -> FileOperations:
+    """Return operations on files that end with the process.
+
+    They serve an instance without a disk, which learns and never votes.
+    """
+    contents: dict[str, bytearray] = {}
+
+    def read(name: str) -> bytes | None:
+        return bytes(contents[name]) if name in contents else None
+
+    def write(name: str, data: bytes) -> None:
+        contents[name] = bytearray(data)
+
+    def append(name: str, data: bytes) -> None:
+        contents.setdefault(name, bytearray()).extend(data)
+
+    def truncate(name: str, length: int) -> None:
+        del contents[name][length:]
+
+    def rename(old: str, new: str) -> None:
+        contents[new] = contents.pop(old)
+
+    return FileOperations(
+        read=read,
+        write=write,
+        append=append,
+        truncate=truncate,
+        sync=lambda _: None,
+        rename=rename,
+        sync_folder=lambda: None,
+    )
+
+
 def open_data_folder(path: Path) -> DataFolder:
     """Open a data folder, and make it when there is none.
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -33,6 +33,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from ..control.disk import keep_in_memory
 from ..control.disk import open_data_folder
 from ..control.peers import listen_to_peers
 from ..control.proposals import Proposer
@@ -50,6 +51,7 @@
 if TYPE_CHECKING:
     from pistachiohook_core.addresses import Address
     from pistachiohook_core.passthrough.routes import RouteSet
+    from pistachiohook_core.storage.files import FileOperations
 
     from ..keys import LinkKeys
     from ..logs import Report
@@ -225,13 +227,13 @@
     """
     node = settings.node
     name = str(settings.peer)
-    folder = open_data_folder(Path(settings.data_folder))
+    files = _open_files(settings.data_folder)
     orders = RouteOrders()
     peers = listen_to_peers(name, settings.peer, keys, report)
     replicator = Replicator(
         name=name,
         addresses={str(seed): str(seed) for seed in settings.seeds},
-        files=folder.files,
+        files=files,
         machine=StateMachine(
             orders.apply, orders.restore, orders.take_snapshot
         ),
@@ -239,7 +241,11 @@
         report=report,
         birth=secrets.token_hex(8),
         seed=secrets.randbits(32),
-        growth=Growth(settings.tolerance, settings.may_found),
+        growth=Growth(
+            settings.tolerance,
+            settings.may_found,
+            durable=bool(settings.data_folder),
+        ),
     )
     proposer = Proposer(name, replicator, peers.send)
     link = DatagramSocket(node.link)
@@ -268,3 +274,9 @@
     supervisor.supervise('link', partial(link.serve, receive))
     supervisor.supervise('gossip', role.gossip)
     return role
+
+
+def _open_files(data_folder: str) -> FileOperations:
+    if not data_folder:
+        return keep_in_memory()
+    return open_data_folder(Path(data_folder)).files
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/settings.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/settings.py
@@ -67,7 +67,8 @@
     """What a control instance is told.
 
     :param node: what every role is told
-    :param data_folder: folder of the journal; empty without a disk
+    :param data_folder: folder of the journal; empty without a disk, where
+        the instance learns and never votes
     :param peer: where other control instances connect (TCP)
     :param seeds: the same of the control instances that the settings name
     :param routes: where routes are fetched (HTTP)
--- a/tests/core/consensus/growth.feature
+++ b/tests/core/consensus/growth.feature
@@ -11,6 +11,31 @@
       | 4    | 1         | 3      |
       | 6    | 2         | 5      |
 
+  Scenario Outline: Instances without a disk learn and never vote
+    Given instances "<diskless>" have no disk
+    And <size> instances with 3 seeds, tolerating the loss of 1
+    Then <voters> of them vote, and the others learn
+    And every instance holds a change that is proposed
+    And no instance of "<diskless>" votes
+    When all instances of "<diskless>" restart
+    Then within 8 seconds every instance is a member
+    And every instance holds a change that is proposed
+    And no instance of "<diskless>" votes
+
+    Examples:
+      | diskless | size | voters |
+      | a        | 4    | 3      |
+      | bd       | 5    | 3      |
+      | ab       | 5    | 3      |
+
+  Scenario: A voter is not replaced by an instance without a disk
+    Given instances "d" have no disk
+    And 4 instances with 3 seeds, tolerating the loss of 1
+    When a voter is gone for good
+    And 10 seconds pass
+    Then no instance of "d" votes
+    And a leader accepts a further change
+
   Scenario: Nothing is accepted before a loss could be borne
     Given 5 instances with 3 seeds, tolerating the loss of 2, of which 2 run
     Then no change is accepted
--- a/tests/core/consensus/steps/growth_steps.py
+++ b/tests/core/consensus/steps/growth_steps.py
@@ -45,9 +45,15 @@
     raise AssertionError(f'not within {seconds} s: {cluster.voters()}')
 
 
+@given('instances "{names}" have no disk')
+def lack_disks(context, names):
+    context.diskless = names
+
+
 @given('{size:d} instances with 3 seeds, tolerating the loss of {tolerance:d}')
 def found(context, size, tolerance):
     context.cluster = build(size, tolerance)
+    context.cluster.diskless = getattr(context, 'diskless', '')
     context.proposed = []
     for name in NAMES[:size]:
         context.cluster.start(name)
@@ -125,6 +131,19 @@
         assert command in cluster.commands(name), name
 
 
+@then('no instance of "{names}" votes')
+def check_diskless(context, names):
+    voting = list_voting(context.cluster)
+    assert not set(names).intersection(voting), voting
+
+
+@when('all instances of "{names}" restart')
+def restart_diskless(context, names):
+    for name in names:
+        context.cluster.lose_disk(name)
+        context.cluster.start(name)
+
+
 @when('all lose their disks, and are not at their first start')
 def lose_all(context):
     cluster = context.cluster
--- a/tests/core/consensus/virtual_cluster.py
+++ b/tests/core/consensus/virtual_cluster.py
@@ -74,6 +74,7 @@
     seeds: tuple[str, ...] = ()
     tolerance: int | None = None
     founding: bool = True
+    diskless: str = ''
     now: float = 100.0
     instances: dict[str, Instance] = attrs.field(factory=dict)
     flying: list[tuple[str, str, bytes]] = attrs.field(factory=list)
@@ -108,7 +109,9 @@
         seed = hash((self.seed, instance.births, self.names.index(name)))
         growth = None
         if self.tolerance is not None:
-            growth = Growth(self.tolerance, self.founding)
+            growth = Growth(
+                self.tolerance, self.founding, name not in self.diskless
+            )
         replica = create_replica(
             saved,
             self.seeds or self.names,
--- a/tests/platform/loopback.py
+++ b/tests/platform/loopback.py
@@ -190,20 +190,27 @@
         for name, link, peer in zip(
             names, self.seeds, self.peers, strict=True
         ):
-            supervisor = self.supervisors[name] = Supervisor(name, self.report)
-            settings = ControlSettings(
-                self.node(name, link),
-                str(self.folder / name),
-                peer,
-                self.peers,
-                find_address(),
-                1,
-                True,
-            )
-            role = start_control(settings, KEYS, supervisor, self.report)
-            self.operators[name] = find_address()
-            serve_operator(self.operators[name], role, self.report)
-            self.controls[name] = role
+            self.start_control(name, link, peer, str(self.folder / name))
+
+    def start_control(self, name, link, peer, data_folder):
+        supervisor = self.supervisors[name] = Supervisor(name, self.report)
+        settings = ControlSettings(
+            self.node(name, link),
+            data_folder,
+            peer,
+            self.peers,
+            find_address(),
+            1,
+            True,
+        )
+        role = start_control(settings, KEYS, supervisor, self.report)
+        self.operators[name] = find_address()
+        serve_operator(self.operators[name], role, self.report)
+        self.controls[name] = role
+
+    async def start_diskless(self, name):
+        link = find_address(socket.SOCK_DGRAM)
+        self.start_control(name, link, find_address(), '')
 
     async def start_balancer(self, name):
         entry = find_address(socket.SOCK_DGRAM)
--- a/tests/platform/path.feature
+++ b/tests/platform/path.feature
@@ -23,6 +23,12 @@
       | version 9 without a timeout      | 400    | 3        |
       | version 8                        | 200    | 8        |
 
+  Scenario: An instance without a disk takes orders and answers reads
+    When a control instance "c9" without a disk starts
+    And the operator puts version 3 and the targets report
+    Then version 4 is acknowledged by "c9"
+    And version 4 is read back from each instance as it was written
+
   Scenario: Flows go on while the leader of control is gone, and so do orders
     When the operator puts version 3 and the targets report
     Then every balancer becomes ready
--- a/tests/platform/steps/path_steps.py
+++ b/tests/platform/steps/path_steps.py
@@ -224,6 +224,16 @@
     assert put(context, write(version), names) == 200
 
 
+@when('a control instance "{name}" without a disk starts')
+def start_diskless(context, name):
+    context.path.call(context.path.start_diskless(name))
+
+
+@then('version {version:d} is acknowledged by "{name}"')
+def put_at(context, version, name):
+    assert put(context, write(version), [name]) == 200
+
+
 @when('the target of "{name}" reports that it is leaving')
 def report_leaving(context, name):
     assert beat(context, name, State='draining') == 200
