Tell the balancer of an ended flow that there is room

Cause: at a crest balancers place by reports that are up to 0.2 s old (1 s from other zones) while room at a target lasts milliseconds.

Change: an agent sends its load to the balancer of each flow that ends, one message a flow. Placing is a field of the balancer, so that tests can compare.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -23,6 +23,7 @@
 from .messages import Found
 from .messages import Load
 from .messages import Offer
+from .messages import Report
 from .messages import Stray
 from .messages import Taken
 from .messages import TargetState
@@ -613,7 +614,17 @@
             'age_ms': round((now - flow.began_at) * 1000, 1),
             'flows': self.busy,
         }
-        return [Log(FLOW_ENDED, fields)]
+        return [Log(FLOW_ENDED, fields), *self._tell_room(flow, now)]
+
+    def _tell_room(self, flow: AgentFlow, now: float) -> list[Action]:
+        """Tell the balancer of a flow that has ended that there is room.
+
+        Answers the load of a crest, where regular reports are older than the
+        room lasts: balancers would crowd one target while others stand idle.
+        """
+        if flow.balancer is None:
+            return []
+        return [Send(flow.balancer, Report(self.describe_load(now)))]
 
     def _drop(self, key: bytes, flow: AgentFlow) -> None:
         del self.flows[key]
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -39,6 +39,7 @@
 from .segments import describe_flow
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Iterator
 
@@ -129,6 +130,7 @@
     :param form: form of the packets
     :param random: settles ties
     :param started_at: start of the balancer
+    :param choose: chooses the agent for a new flow
     :param table: routes in force; ``None`` before the first
     :param views: agents by service and address
     :param flows: what is remembered of flows, least recently used first
@@ -139,6 +141,7 @@
     form: SegmentFormat
     random: Random = attrs.field(factory=Random)
     started_at: float = float('-inf')
+    choose: Callable[..., Choice | None] = choose_agent
     table: RouteTable | None = None
     views: dict[str, dict[Address, AgentView]] = attrs.field(factory=dict)
     flows: OrderedDict[bytes, FlowEntry] = attrs.field(factory=OrderedDict)
@@ -306,7 +309,7 @@
         age_ms = (now - entry.began_at) * 1000
         budget = find_budget(route, age_ms)
         if entry.offers < OFFERS_MAX:
-            choice = choose_agent(
+            choice = self.choose(
                 views.values(),
                 route,
                 self.zone,
--- a/tests/core/passthrough/mesh.py
+++ b/tests/core/passthrough/mesh.py
@@ -34,6 +34,8 @@
 URGENT = Address('198.18.0.1', 8080)
 ENTRY_NUMBER = 0xC6120001
 NEAR_MS, FAR_MS, CALLER_MS = 0.2, 1.4, 1.0
+#: Reports to the own zone for each one to the others, as agents do.
+FAR_REPORTS = 5
 #: When a caller repeats its opening packet, and when it gives up.
 REPEATS = (0.2, 0.6)
 GIVE_UP = 1.4
@@ -188,13 +190,15 @@
         )
         self.agents[name].announce_target(view, self.now)
 
-    def report(self, name, agent):
+    def report(self, name, agent, turn=0):
         if self.agents.get(name) is not agent:
             return
         load = Report(agent.describe_load(self.now))
+        far = not turn % FAR_REPORTS
         for balancer in self.balancers:
-            self.send(name, Send(self.address(balancer), load))
-        self.at(self.now + 0.2, self.report, name, agent)
+            if far or self.zones[balancer] == self.zones[name]:
+                self.send(name, Send(self.address(balancer), load))
+        self.at(self.now + 0.2, self.report, name, agent, turn + 1)
 
     def expire_agent(self, name, agent):
         if self.agents.get(name) is agent:
