--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
@@ -20,7 +20,6 @@
 from .log import Log
 from .messages import Message
 
-
 #: Times that a replica asks for votes with short waits before it has heard a
 #: leader; enough for the others to start, and few enough that a slow disk
 #: does not keep the term rising.
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/running.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/running.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import signal
 from typing import TYPE_CHECKING
 
@@ -69,6 +70,7 @@
     """
     try:
         role = await start()
+        _settle_memory()
         server = serve_endpoints(admin, metrics, role.find_health, report)
     except refusals as error:
         report(START_REFUSED, step='start role', error=describe_error(error))
@@ -81,6 +83,15 @@
     return status
 
 
+def _settle_memory() -> None:
+    """Collect from now on, but not what the start has made.
+
+    Modules and the role live as long as the process.
+    """
+    gc.freeze()
+    gc.enable()
+
+
 async def _run_until_stopped(
     supervisor: Supervisor, role: Role, report: Report
 ) -> int:
--- a/tests/daemon/supervisor/steps/supervisor_steps.py
+++ b/tests/daemon/supervisor/steps/supervisor_steps.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import os
 import selectors
+import signal
 
 from behave import given
 from behave import then
 from behave import when
+from pistachiohook_core.addresses import Address
+from pistachiohook_core.metrics import Metrics
+from pistachiohook_daemon.endpoints import Health
+from pistachiohook_daemon.running import Role
+from pistachiohook_daemon.running import run_role
 from pistachiohook_daemon.supervisor import Supervisor
 from pistachiohook_daemon.supervisor import TaskGivenUpError
 
@@ -83,3 +91,49 @@
 def compare_events(context, events):
     expected = [] if events == 'none' else events.split(',')
     assert [str(number) for number in context.events] == expected
+
+
+@given('garbage is not collected while a role starts')
+def stop_collecting(context):
+    context.add_cleanup(gc.enable)
+    context.add_cleanup(gc.unfreeze)
+    gc.disable()
+
+
+@when('the role has started and is told to stop')
+def run_and_stop(context):
+    async def shut_down():
+        context.collecting = gc.isenabled()
+        context.left_out = gc.get_freeze_count()
+
+    async def start():
+        assert not gc.isenabled()
+        supervisor.supervise('work', asyncio.Event().wait)
+        loop = asyncio.get_running_loop()
+        loop.call_soon(os.kill, os.getpid(), signal.SIGTERM)
+        return Role(lambda: Health(True, ''), shut_down)
+
+    def report(event, **fields):
+        del event, fields
+
+    supervisor = Supervisor('test', report)
+    status = asyncio.run(
+        run_role(
+            start,
+            Address('127.0.0.1', 0),
+            Metrics(),
+            supervisor,
+            report,
+        )
+    )
+    assert status == 0
+
+
+@then('garbage was collected while it ran')
+def check_collecting(context):
+    assert context.collecting
+
+
+@then('what its start had made was left out')
+def check_left_out(context):
+    assert context.left_out > 0
--- a/tests/daemon/supervisor/supervisor.feature
+++ b/tests/daemon/supervisor/supervisor.feature
@@ -12,3 +12,9 @@
       | 0        | 1      | goes on          | none                     |
       | 2        | 3      | goes on          | 1001,1001                |
       | 9        | 5      | gives up         | 1001,1001,1001,1001,1002 |
+
+  Scenario: A process that starts without collecting garbage collects it later
+    Given garbage is not collected while a role starts
+    When the role has started and is told to stop
+    Then garbage was collected while it ran
+    And what its start had made was left out
