Look at each agent once when a flow is placed

Ruled out: too few slots (1 flow in progress at most targets), refusals by agents (214 of 13,083 offers in one second), stale reports (median 31 ms).

Change: a view of an agent keeps its expected wait, and placing goes through the agents once for the best two. The existing scenarios cover it.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -327,7 +327,7 @@
         entry.offers += 1
         entry.state = EntryState.OFFERED
         entry.agent = choice.view.address
-        choice.view.offered.add(flow)
+        choice.view.add_offer(flow)
         self.counts['offers'] += 1
         self._await_answer(flow, entry, now + OFFER_TIMEOUT)
         last = entry.offers == OFFERS_MAX
@@ -389,7 +389,7 @@
             self.counts['offers_unanswered'] += 1
             view = self.views.get(entry.service, {}).get(entry.agent)
             if view is not None:
-                view.offered.discard(flow)
+                view.settle_offer(flow)
                 view.suspect = True
             entry.agent = None
         return self._offer_again(flow, entry, now)
@@ -437,13 +437,13 @@
             view = AgentView(sender, load, now)
             self.views.setdefault(load.service, {})[sender] = view
             self._services[sender] = load.service
-        view.offered.discard(flow)
+        view.settle_offer(flow)
         view.suspect = False
         view.heard_at = now
         # A start that seems earlier counts too: the time of day may jump back.
         restarted = load.started != view.load.started
         if restarted or load.sequence >= view.load.sequence:
-            view.load = load
+            view.take_load(load)
 
     def _drop_view(self, address: Address) -> None:
         former = self._services.pop(address, None)
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
@@ -52,11 +52,17 @@
 class AgentView:
     """What a balancer knows of an agent.
 
+    The expected wait is kept rather than worked out for each new flow, since
+    every new flow looks at all agents.
+
     :param address: where the agent receives messages about flows
-    :param load: its newest report
+    :param load: its newest report; change it by :meth:`take_load`
     :param heard_at: when the report came
-    :param offered: offers since that it has not answered, by flow
+    :param offered: offers since that it has not answered, by flow; change
+        them by :meth:`add_offer` and :meth:`settle_offer`
     :param suspect: whether it has let an offer go unanswered since
+    :param wait_ms: expected wait of one more flow
+    :param fill: share of the slots in use, above 1 when flows wait
     """
 
     address: Address
@@ -64,6 +70,36 @@
     heard_at: float
     offered: set[bytes] = attrs.field(factory=set)
     suspect: bool = False
+    wait_ms: float = attrs.field(init=False)
+    fill: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._estimate()
+
+    def take_load(self, load: Load) -> None:
+        """Take a newer report."""
+        self.load = load
+        self._estimate()
+
+    def add_offer(self, flow: bytes) -> None:
+        """Count a flow that was offered."""
+        self.offered.add(flow)
+        self._estimate()
+
+    def settle_offer(self, flow: bytes) -> None:
+        """Count an offer no longer that was answered or given up."""
+        if flow in self.offered:
+            self.offered.discard(flow)
+            self._estimate()
+
+    def _estimate(self) -> None:
+        flows = self.load.flows + len(self.offered)
+        self.wait_ms = estimate_wait(self.load, flows)
+        self.fill = flows / max(1, self.load.slots)
+
+
+#: Rank behind that of every agent.
+_WORST = (2, 0.0, 0.0, 0.0)
 
 
 @attrs.frozen
@@ -126,28 +162,28 @@
     :returns: the choice; ``None`` when no target may take the flow
     """
     latency = route.target_latency_ms or TARGET_LATENCY_MS
-    ranked = sorted(
-        (
-            (
-                view.suspect,
-                _price(view, zone, latency * WAIT_SHARE),
-                _fill(view),
-                random.random(),
-                view,
-            )
-            for view in views
-            if view.address not in tried and _is_open(view, zone, now)
-        ),
-        key=lambda rank: rank[:4],
-    )
-    if not ranked:
+    crossing_ms = latency * WAIT_SHARE
+    best: AgentView | None = None
+    first = second = _WORST
+    for view in views:
+        if view.address in tried or not _is_open(view, zone, now):
+            continue
+        away = 0.0 if view.load.zone == zone else crossing_ms
+        price = view.wait_ms + away
+        rank = (view.suspect, price, view.fill, random.random())
+        if rank < first:
+            best, first, second = view, rank, first
+        elif rank < second:
+            second = rank
+    if best is None:
         return None
-    best = ranked[0][4]
-    wait = _estimate(best)
-    if len(ranked) == 1 or ranked[1][0] > ranked[0][0]:
-        return Choice(best, wait, float('inf'))
-    spare = ranked[1][1] - ranked[0][1]
-    return Choice(best, wait, wait + spare + PATIENCE_MARGIN_MS)
+    suspect, price, *_ = first
+    if second[0] > suspect:
+        return Choice(best, best.wait_ms, float('inf'))
+    spare = second[1] - price
+    return Choice(
+        best, best.wait_ms, best.wait_ms + spare + PATIENCE_MARGIN_MS
+    )
 
 
 def is_heard(view: AgentView, zone: str, now: float) -> bool:
@@ -160,20 +196,3 @@
 def _is_open(view: AgentView, zone: str, now: float) -> bool:
     ready = view.load.state is TargetState.READY
     return ready and is_heard(view, zone, now)
-
-
-def _count_flows(view: AgentView) -> int:
-    return view.load.flows + len(view.offered)
-
-
-def _estimate(view: AgentView) -> float:
-    return estimate_wait(view.load, _count_flows(view))
-
-
-def _fill(view: AgentView) -> float:
-    return _count_flows(view) / max(1, view.load.slots)
-
-
-def _price(view: AgentView, zone: str, crossing_ms: float) -> float:
-    wait = _estimate(view)
-    return wait if view.load.zone == zone else wait + crossing_ms
--- a/tests/core/passthrough/steps/crest_steps.py
+++ b/tests/core/passthrough/steps/crest_steps.py
@@ -53,9 +53,9 @@
         views = list(views)
         for view in views:
             agent = mesh.agents[view.address.host]
-            view.load = agent.describe_load(now)
-            view.heard_at = now
             view.offered.clear()
+            view.take_load(agent.describe_load(now))
+            view.heard_at = now
         return choose_agent(views, route, zone, tried, random, now)
 
     return choose
