Read agents' answers before a flood of callers' packets

A balancer took 64 packets of callers in one go; answers to its offers waited behind them, and offers without an answer within 50 ms are made again.

Change: at most 16 packets of callers before the agents' messages get their turn.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/datagrams.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/datagrams.py
@@ -12,7 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-#: Datagrams that are taken before other tasks get their turn.
+#: Datagrams that a socket hands on before other tasks get their turn, unless
+#: it is told otherwise.
 BATCH = 64
 
 #: Longest datagram, in bytes.
@@ -27,9 +28,11 @@
     """State of one bound UDP socket.
 
     :param bind: address to bind; port 0 lets the system choose
+    :param batch: datagrams that are taken before other tasks get their turn
     """
 
     bind: Address
+    batch: int = BATCH
     _socket: socket.socket | None = None
 
     def open(self) -> Address:
@@ -86,7 +89,7 @@
         failed: asyncio.Future[None],
     ) -> None:
         assert self._socket is not None
-        for _ in range(BATCH):
+        for _ in range(self.batch):
             try:
                 data, peer = self._socket.recvfrom(DATAGRAM_MAX)
             except BlockingIOError:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
@@ -54,6 +54,11 @@
 #: Time between two looks at idle flows and silent agents, in seconds.
 FORGET_INTERVAL = 1.0
 
+#: Packets of callers that are taken before the agents' messages get their
+#: turn: answers to offers must not wait behind new flows, or each would be
+#: offered again and overload feed itself.
+ENTRY_BATCH = 16
+
 #: Time that a leaving balancer goes on forwarding, in seconds: the fabric
 #: takes it out after two failed probes, 0.5 s apart.
 LINGER = 3.0
@@ -211,7 +216,7 @@
     :raises OSError: when an address can't be bound
     """
     node = settings.node
-    entry = DatagramSocket(settings.entry)
+    entry = DatagramSocket(settings.entry, ENTRY_BATCH)
     link = DatagramSocket(node.link)
     entry.open()
     link.open()
--- /dev/null
+++ b/tests/daemon/datagrams/steps/datagram_steps.py
@@ -0,0 +1,72 @@
+"""Steps on sockets of one process that datagrams wait before."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from behave import given
+from behave import then
+from behave import when
+from pistachiohook_core.addresses import Address
+from pistachiohook_daemon.datagrams import DatagramSocket
+
+#: Longest wait for all datagrams to be read, in seconds.
+PATIENCE = 30.0
+
+
+@given(
+    'a socket with a batch of {batch:d} before which {count:d} datagrams wait'
+)
+@given(
+    'a socket with a batch of {batch:d} before which {count:d} datagram waits'
+)
+def fill(context, batch, count):
+    if 'sockets' not in context:
+        context.sockets = {}
+        context.read = []
+    opened = DatagramSocket(Address('127.0.0.1', 0), batch)
+    address = opened.open()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for _ in range(count):
+            sender.sendto(b'.', (address.host, address.port))
+    context.sockets[count] = opened
+
+
+@when('both are served until all is read')
+def serve(context):
+    async def run():
+        done = asyncio.Event()
+
+        def take(count):
+            def receive(data, sender):
+                del data, sender
+                context.read.append(count)
+                if len(context.read) == sum(context.sockets):
+                    done.set()
+
+            return receive
+
+        tasks = [
+            asyncio.create_task(opened.serve(take(count)))
+            for count, opened in context.sockets.items()
+        ]
+        async with asyncio.timeout(PATIENCE):
+            await done.wait()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    asyncio.run(run())
+
+
+@then('the {few:d} datagram was read after at most {bound:d} of the {many:d}')
+def check_turn(context, few, bound, many):
+    first = context.read.index(few)
+    assert context.read[:first] == [many] * first
+    assert first <= bound, first
+
+
+@then('all {count:d} were read')
+def check_all(context, count):
+    assert len(context.read) == count
