--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 .PHONY: measure-flows
 .PHONY: measure-steering
 .PHONY: setup
+.PHONY: soak
 .PHONY: test
 
 setup: $(STAMP)
@@ -70,6 +71,11 @@
 	MEMBERSHIP_EXAMPLES=$(or $(RUNS),1000) \
 	    $(BIN)/python tools/scenarios.py tests/core/membership
 
+soak: export PYTHONPATH := $(PYTHONPATH):tests/platform:tests/soak
+soak: setup
+	$(BIN)/python tests/soak/soak.py --seeds $(or $(SEEDS),0-4) \
+	    --length $(or $(LENGTH),15)
+
 format: setup
 	$(BIN)/ruff format packages platform tests tools
 	$(BIN)/ruff check --fix packages platform tests tools
--- /dev/null
+++ b/tests/soak/machines.py
@@ -0,0 +1,176 @@
+"""The platform's processes as machines on loopback, and their faults."""
+
+from __future__ import annotations
+
+import json
+import os
+from pathlib import Path
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+
+import attrs
+
+#: Ports of a machine, counted from the soak's first one.
+ENTRY, READY, CONTROL, OUTBOUND, APP, INTERNAL = range(6)
+INTERNAL_COUNT = 8
+PORTS = INTERNAL + INTERNAL_COUNT
+
+#: Longest wait for the end of a process, in seconds.
+PATIENCE = 30.0
+
+
+@attrs.define(eq=False)
+class Process:
+    """A process of a machine, started anew when it ends.
+
+    :param log: file that gets what it writes
+    :param ending: whether it was told to end
+    :param exits: how often it ended by itself
+    """
+
+    role: str
+    settings: Path
+    log: Path
+    running: subprocess.Popen | None = None
+    paused: bool = False
+    ending: bool = False
+    exits: int = 0
+
+    def start(self):
+        with self.log.open('ab') as log:
+            self.running = subprocess.Popen(
+                [sys.executable, '-m', 'pistachiohook_platform', self.role],
+                env={**os.environ, 'PISTACHIOHOOK_BOOT': str(self.settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def check(self):
+        """Start it anew when it has ended by itself."""
+        ended = self.running is not None and self.running.poll() is not None
+        if ended and not self.ending:
+            self.exits += 1
+            self.start()
+
+    def terminate(self):
+        """Tell it to end."""
+        if self.running is not None:
+            self.ending = True
+            self.running.terminate()
+
+    def kill(self):
+        """End it at once, and wait until it is gone."""
+        if self.running is not None:
+            self.running.kill()
+            self.running.wait(PATIENCE)
+        self.running = None
+        self.paused = self.ending = False
+
+    def pause(self):
+        if self.running is not None and not self.paused:
+            self.running.send_signal(signal.SIGSTOP)
+            self.paused = True
+
+    def resume(self):
+        if self.running is not None and self.paused:
+            self.running.send_signal(signal.SIGCONT)
+        self.paused = False
+
+
+@attrs.define(eq=False)
+class Machine:
+    """An instance with an address and the processes of its roles."""
+
+    name: str
+    host: str
+    first: int
+    folder: Path
+    roles: tuple[str, ...]
+    service: str = ''
+    seeds: tuple[str, ...] = ()
+    bootstrap: bool = True
+    processes: dict = attrs.field(factory=dict)
+
+    def address(self, number):
+        return self.host, self.first + number
+
+    def text(self, number):
+        return f'{self.host}:{self.first + number}'
+
+    def write_settings(self):
+        """Put the settings file in place as a whole."""
+        self.folder.mkdir(exist_ok=True)
+        settings = {
+            'NodeId': self.name,
+            'Ip': self.host,
+            'Zone': 'x',
+            'Listen': {
+                'DatagramAddr': self.text(ENTRY),
+                'ReadinessAddr': self.text(READY),
+                'Control': self.text(CONTROL),
+                'outbound': self.text(OUTBOUND),
+            },
+            'InternalPorts': [
+                self.first + INTERNAL,
+                self.first + INTERNAL + INTERNAL_COUNT - 1,
+            ],
+            'Seeds': list(self.seeds),
+            'Bootstrap': self.bootstrap,
+            'DataDir': str(self.folder / 'data'),
+            'Bounds': {'GraceS': 3},
+            'Service': self.service,
+            'app': self.text(APP),
+        }
+        new = self.folder / 'new'
+        new.write_text(json.dumps(settings))
+        new.rename(self.folder / 'node.json')
+
+    def start(self):
+        self.write_settings()
+        for role in self.roles:
+            if role not in self.processes:
+                self.processes[role] = Process(
+                    role,
+                    self.folder / 'node.json',
+                    self.folder / f'{role}.log',
+                )
+            if self.processes[role].running is None:
+                self.processes[role].start()
+
+    def kill(self):
+        for process in self.processes.values():
+            process.kill()
+
+    def terminate(self):
+        for process in self.processes.values():
+            process.terminate()
+
+    def wipe(self):
+        """Lose the disk; no process of the machine may run."""
+        shutil.rmtree(self.folder / 'data', ignore_errors=True)
+
+
+def find_ports():
+    """Return the first of as many ports that are free on all of loopback."""
+    while True:
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as one:
+            one.bind(('127.0.0.1', 0))
+            first = one.getsockname()[1]
+        if first + PORTS < 65536 and all(
+            _is_free(port, kind)
+            for port in range(first, first + PORTS)
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+        ):
+            return first
+
+
+def _is_free(port, kind):
+    with socket.socket(socket.AF_INET, kind) as one:
+        try:
+            one.bind(('0.0.0.0', port))
+        except OSError:
+            return False
+    return True
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,393 @@
+"""A randomized soak: real processes, faults from outside, promises."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+from pathlib import Path
+from random import Random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+import attrs
+from machines import find_ports
+from machines import Machine
+from pistachiohook_core.addresses import Address
+from traffic import BEAT
+from traffic import CALLER_HOST
+from traffic import Callers
+from traffic import fetch
+from traffic import find_faults
+from traffic import Operator
+from traffic import PROBE
+from traffic import Target
+
+#: Longest wait for a condition that must come true, in seconds.
+PATIENCE = 30.0
+#: Time after the last fault in which all must serve again, in seconds; the
+#: bound of the users' platform.
+RECOVERY = 12.0
+#: Calls at the end that must all be answered.
+LAST_CALLS = 20
+#: Mean time between two faults, and between two calls, in seconds.
+FAULT_PAUSE, CALL_PAUSE = 0.9, 0.02
+CONTROLS, BALANCERS, AGENTS = 3, 2, 2
+#: Time from SIGTERM to SIGKILL, in seconds: the grace of the settings and a
+#: little more.
+STOP_TIMEOUT = 4.0
+#: Faults; some come more often.
+KINDS = (
+    'kill',
+    'kill',
+    'terminate',
+    'freeze',
+    'freeze',
+    'wipe',
+    'lose_packets',
+    'drain',
+    'reload',
+)
+
+
+@attrs.define(eq=False)
+class Soak:
+    """Machines, traffic and the plan of one seed.
+
+    :param seed: fixes which faults come when
+    :param length: time in which faults come, in seconds
+    """
+
+    seed: int
+    length: float
+    folder: Path
+    random: Random = attrs.field(init=False)
+    machines: dict = attrs.field(factory=dict)
+    targets: dict = attrs.field(factory=dict)
+    ready: list = attrs.field(factory=list)
+    leaving: set = attrs.field(factory=set)
+    journal: list = attrs.field(factory=list)
+    busy: set = attrs.field(factory=set)
+    beats: int = 0
+    began_at: float = 0.0
+    first: int = 0
+    callers: object = None
+    operator: object = None
+
+    def __attrs_post_init__(self):
+        self.random = Random(self.seed)
+
+    @property
+    def controls(self):
+        return [name for name in self.machines if name[0] == 'c']
+
+    @property
+    def balancers(self):
+        return [name for name in self.machines if name[0] in 'cb']
+
+    @property
+    def agents(self):
+        return [name for name in self.machines if name[0] in 'st']
+
+    def add(self, name, number, roles, service=''):
+        seeds = [f'127.0.1.{one + 1}' for one in range(CONTROLS)]
+        self.machines[name] = Machine(
+            name,
+            f'127.0.1.{number}',
+            self.first,
+            self.folder / name,
+            roles,
+            service,
+            tuple(f'{host}:{self.first + 2}' for host in seeds),
+        )
+        self.machines[name].start()
+
+    async def start(self):
+        self.first = find_ports()
+        loop = asyncio.get_running_loop()
+        for number in range(CONTROLS):
+            self.add(f'c{number}', number + 1, ('control', 'balancer'))
+        for number in range(BALANCERS):
+            self.add(f'b{number}', number + 11, ('balancer',))
+        for service in 'st':
+            for number in range(AGENTS):
+                name = f'{service}{number}'
+                place = 21 + len(self.agents)
+                self.add(name, place, ('agent',), service)
+                await self.start_target(name)
+        _, self.callers = await loop.create_datagram_endpoint(
+            lambda: Callers(self), local_addr=(CALLER_HOST, self.first)
+        )
+        self.operator = Operator(self, Random(self.seed + 1))
+
+    async def start_target(self, name):
+        machine = self.machines[name]
+        outbound = Address(*machine.address(3))
+        target = Target(name, outbound, self.random)
+        target.born = int(time.time() * 1000)
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: target, local_addr=machine.address(4)
+        )
+        self.targets[name] = target
+
+    def note(self, text):
+        self.journal.append(f'{self.clock():7.2f} {text}')
+
+    def clock(self):
+        return asyncio.get_running_loop().time() - self.began_at
+
+    async def beat(self, name):
+        target = self.targets[name]
+        self.beats += 1
+        state = 'draining' if name in self.leaving else 'ready'
+        body = (
+            f'{{"Service": "{name[0]}", "Slots": 4, "State": "{state}",'
+            f' "Seq": {self.beats}, "born": {target.born}}}'
+        )
+        address = self.machines[name].text(2)
+        url = f'http://{address}/Endpoints.Heartbeat/{name}'
+        await fetch(url, 1.0, method='POST', body=body)
+
+    async def beat_all(self):
+        while True:
+            await asyncio.gather(*map(self.beat, self.targets))
+            await asyncio.sleep(BEAT)
+
+    async def probe_all(self):
+        """Take balancers out that are not ready, as the fabric does."""
+        while True:
+            names = self.balancers
+            answers = await asyncio.gather(*map(self.probe, names))
+            self.ready = [
+                name for name, good in zip(names, answers, strict=True) if good
+            ]
+            await asyncio.sleep(PROBE)
+
+    async def probe(self, name):
+        url = f'http://{self.machines[name].text(1)}/ready'
+        status, _ = await fetch(url, PROBE)
+        return status == 200
+
+    async def restart_ended(self):
+        while True:
+            for machine in self.machines.values():
+                for process in machine.processes.values():
+                    process.check()
+            await asyncio.sleep(0.2)
+
+    async def call_all(self):
+        calls = set()
+        while True:
+            service = self.random.choice('st')
+            task = asyncio.create_task(self.callers.call(service))
+            calls.add(task)
+            task.add_done_callback(calls.discard)
+            await asyncio.sleep(self.random.expovariate(1 / CALL_PAUSE))
+
+    async def operate(self):
+        while True:
+            now = asyncio.get_running_loop().time()
+            await self.operator.put(now + PATIENCE)
+            await self.operator.read(self.random.choice(self.controls))
+            await asyncio.sleep(self.random.expovariate(2))
+
+    # Faults
+
+    async def kill(self, name):
+        self.machines[name].kill()
+        await asyncio.sleep(self.random.uniform(0.1, 1.5))
+        self.machines[name].start()
+
+    async def terminate(self, name):
+        self.machines[name].terminate()
+        await asyncio.sleep(STOP_TIMEOUT)
+        self.machines[name].kill()
+        self.machines[name].start()
+
+    async def freeze(self, name):
+        processes = list(self.machines[name].processes.values())
+        for process in processes:
+            process.pause()
+        await asyncio.sleep(self.random.uniform(0.2, 3.0))
+        for process in processes:
+            process.resume()
+
+    async def wipe(self, name):
+        machine = self.machines[name]
+        machine.kill()
+        machine.wipe()
+        machine.bootstrap = False
+        await asyncio.sleep(self.random.uniform(0.1, 1.5))
+        machine.start()
+        # A second disk may be lost only once this one has caught up.
+        await asyncio.sleep(4.0)
+
+    async def lose_packets(self, _):
+        self.callers.loss = self.random.uniform(0.01, 0.2)
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        self.callers.loss = 0.0
+
+    async def drain(self, name):
+        """Let a target leave, and look at the flows that it still gets."""
+        loop = asyncio.get_running_loop()
+        self.leaving.add(name)
+        await self.beat(name)
+        told = loop.time()
+        await asyncio.sleep(5.0)
+        late = [at for at in self.targets[name].opened if at > told + 3.0]
+        if late:
+            self.operator.faults.append(f'{name} got {len(late)} late flows')
+        self.leaving.discard(name)
+        # It starts anew and holds none of the flows of before.
+        self.targets[name].flows.clear()
+        self.targets[name].born += 1
+
+    async def reload(self, name):
+        """Let the seeds change, with a signal."""
+        machine = self.machines[name]
+        machine.seeds = machine.seeds[1:] + machine.seeds[:1]
+        machine.write_settings()
+        for process in machine.processes.values():
+            if process.running is not None:
+                process.running.send_signal(signal.SIGHUP)
+
+    def choose_fault(self):
+        """Return a fault and the machine it strikes.
+
+        No more control instances are struck at once than may be lost; no
+        service loses both of its targets.
+        """
+        kind = self.random.choice(KINDS)
+        names = self.controls if kind == 'wipe' else list(self.machines)
+        names = self.agents if kind == 'drain' else names
+        name = self.random.choice(names)
+        if kind == 'lose_packets':
+            name = 'fabric'
+        groups = {other[0] for other in self.busy}
+        if name in self.busy or name[0] in groups & {'c', 's', 't'}:
+            return None
+        return kind, name
+
+    async def strike(self):
+        """Strike until the time is over; faults overlap."""
+        running = set()
+        while self.clock() < self.length:
+            await asyncio.sleep(self.random.expovariate(1 / FAULT_PAUSE))
+            chosen = self.choose_fault()
+            if chosen is None:
+                continue
+            kind, name = chosen
+            self.note(f'{kind} {name}')
+            self.busy.add(name)
+            task = asyncio.create_task(getattr(self, kind)(name))
+            running.add(task)
+            task.add_done_callback(
+                lambda _, name=name: self.busy.discard(name)
+            )
+        await asyncio.gather(*running)
+        self.note('no more faults')
+
+    async def run(self):
+        """Play the plan; returns every broken promise."""
+        loop = asyncio.get_running_loop()
+        self.began_at = loop.time()
+        await self.start()
+        duties = [
+            asyncio.create_task(duty())
+            for duty in (self.beat_all, self.probe_all, self.restart_ended)
+        ]
+        try:
+            await self.operator.put(loop.time() + PATIENCE)
+            await self.wait_until_ready()
+            self.note('ready')
+            work = [
+                asyncio.create_task(duty())
+                for duty in (self.call_all, self.operate)
+            ]
+            await self.strike()
+            await self.settle(work)
+        finally:
+            for task in duties:
+                task.cancel()
+        targets = list(self.targets.values())
+        return find_faults(self.callers.calls, targets, self.operator)
+
+    async def wait_until_ready(self):
+        end = asyncio.get_running_loop().time() + PATIENCE
+        while len(self.ready) < len(self.balancers):
+            if asyncio.get_running_loop().time() > end:
+                self.operator.faults.append(f'only {self.ready} are ready')
+                return
+            await asyncio.sleep(0.1)
+
+    async def settle(self, work):
+        """Look for what must hold once the faults are over."""
+        await asyncio.sleep(RECOVERY)
+        for task in work:
+            task.cancel()
+        await asyncio.gather(*work, return_exceptions=True)
+        for name in self.controls:
+            if not await self.operator.read(name):
+                self.operator.faults.append(f'{name} answers no read')
+        calls = [
+            await self.callers.call('st'[number % 2])
+            for number in range(LAST_CALLS)
+        ]
+        good = sum(call.outcome == 'answered' for call in calls)
+        if good < LAST_CALLS:
+            self.operator.faults.append(f'{good} of {LAST_CALLS} last calls')
+
+    def stop(self):
+        for machine in self.machines.values():
+            machine.kill()
+
+
+def play(seed, length):
+    """Play one seed.
+
+    :returns: the broken promises, the journal of faults and the outcomes of
+        calls; the logs are kept only where a promise was broken
+    """
+    folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+    soak = Soak(seed, length, folder)
+    try:
+        faults = asyncio.run(soak.run())
+    finally:
+        soak.stop()
+    outcomes = {}
+    for call in soak.callers.calls:
+        outcomes[call.outcome] = outcomes.get(call.outcome, 0) + 1
+    exits = {
+        f'{name}/{role}': process.exits
+        for name, machine in soak.machines.items()
+        for role, process in machine.processes.items()
+        if process.exits
+    }
+    if faults:
+        soak.journal.append(f'logs: {folder}')
+    else:
+        shutil.rmtree(folder)
+    return faults, soak.journal, {**outcomes, 'exits': exits}
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', default='0-4', help='first and last seed')
+    parser.add_argument('--length', type=float, default=15.0)
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition('-')
+    broken = 0
+    for seed in range(int(first), int(last or first) + 1):
+        faults, journal, outcomes = play(seed, options.length)
+        print(f'seed {seed}: {len(faults)} broken, {outcomes}', flush=True)
+        if faults:
+            broken += 1
+            print('\n'.join(['  ' + line for line in journal + faults[:20]]))
+    print(f'{broken} seeds with broken promises')
+    return 1 if broken else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/steps/soak_steps.py
@@ -0,0 +1,104 @@
+"""Steps on the soak and on what it finds."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from random import Random
+
+import attrs
+from behave import given
+from behave import then
+from behave import when
+import soak
+from traffic import Call
+from traffic import find_faults
+from traffic import IN_FORCE
+from traffic import Operator
+
+
+@attrs.define
+class FakeTarget:
+    name: str
+    ran: list = attrs.field(factory=list)
+
+
+@when('seed {seed:d} is played with faults for {length:d} seconds')
+def play(context, seed, length):
+    found = soak.play(seed, float(length))
+    context.faults, context.journal, context.outcomes = found
+
+
+@then('no promise is broken')
+def check_promises(context):
+    assert not context.faults, (context.faults, context.journal)
+
+
+@then('no process has ended by itself')
+def check_exits(context):
+    assert not context.outcomes['exits'], context.outcomes
+
+
+@then('calls were answered while faults came')
+def check_answered(context):
+    assert context.outcomes.get('answered', 0) > soak.LAST_CALLS
+    assert len(context.journal) > 2, context.journal
+
+
+@given('two targets, a call of each outcome and an operator')
+def prepare(context):
+    context.targets = [FakeTarget('s0'), FakeTarget('t0')]
+
+
+class FakeOperator(Operator):
+    """Reads what it is told to read."""
+
+    shown = b''
+
+    async def fetch(self, name, path, **options):
+        del name, path, options
+        return 200, self.shown
+
+
+def read(shown, accepted):
+    """Return what an operator finds who reads a version at an instance."""
+
+    async def run():
+        operator = FakeOperator(None, Random(0))
+        operator.sent = {4: b'{"Version": 4}', 5: b'{"Version": 5}'}
+        now = asyncio.get_running_loop().time()
+        operator.accepted = {accepted: now - IN_FORCE - 1}
+        operator.shown = json.dumps(shown).encode()
+        await operator.read('c0')
+        return operator
+
+    return asyncio.run(run())
+
+
+def find(what):
+    first, second = FakeTarget('s0'), FakeTarget('t0')
+    call = Call(1, 's', 0.0, 'answered', 's0')
+    operator = read({'Version': 5}, 5)
+    caller = ('127.0.0.1', 1)
+    match what:
+        case 'a call that ran at two targets':
+            first.ran, second.ran = [caller], [caller]
+            second.name = 's1'
+        case 'a refused call that has run':
+            call.outcome, first.ran = 'refused', [caller]
+        case 'a call that was reset while open':
+            call.outcome = 'broken'
+        case 'a call answered by another service':
+            call.answer = 't0'
+        case 'an accepted version that is not shown':
+            operator = read({'Version': 4}, 5)
+        case 'a version shown as it was not sent':
+            operator = read({'Version': 5, 'More': 1}, 5)
+    return find_faults([call], [first, second], operator)
+
+
+@then('each of these is found as a broken promise')
+def check_found(context):
+    assert not find('nothing')
+    missed = [row['what'] for row in context.table if not find(row['what'])]
+    assert not missed, missed
