Let the stand-in for targets accept as the platform's page says

Trace: the stand-in numbered its flows from 1000 on at every target, and took data whatever it acknowledged. With two targets offered the same flow, their numbers were next to each other, so that neither the agent nor the target could tell which one the caller had chosen. The page has a flow open only at the target whose number is acknowledged, and numbers are 32 bits.

Change: numbers are random, and data that acknowledges another number is given back.

--- a/tests/platform/loopback.py
+++ b/tests/platform/loopback.py
@@ -5,6 +5,7 @@
 import asyncio
 from itertools import count
 from pathlib import Path
+from secrets import randbits
 import shutil
 import socket
 import struct
@@ -75,21 +76,22 @@
         self.outbound = (outbound.host, outbound.port)
         self.ran = []
         self.flows = {}
-        self.numbers = count(1000)
 
     def connection_made(self, transport):
         self.transport = transport
 
     def datagram_received(self, data, _):
-        _, dport, sport, src, dst, flags, _, seq, _, length, _ = (
+        _, dport, sport, src, dst, flags, _, seq, ack, length, _ = (
             HEADER.unpack_from(data)
         )
         caller = (socket.inet_ntoa(src.to_bytes(4, 'big')), sport)
         entry = (socket.inet_ntoa(dst.to_bytes(4, 'big')), dport)
         if flags & SYN:
-            self.flows.setdefault(caller, next(self.numbers))
+            # Starts that are near each other would hide which target a
+            # caller has chosen.
+            self.flows.setdefault(caller, randbits(31))
             self.answer(entry, caller, SYN | ACK, seq + 1)
-        elif caller not in self.flows:
+        elif ack - self.flows.get(caller, ack) != 1:
             returned = data[:16] + bytes((flags | 1,)) + data[17:]
             self.transport.sendto(returned, self.outbound)
         elif length:
