Test pass-through flows over lossy links and processes that stand still

The virtual network loses messages between balancers and agents, and processes stand still and wake: no flow is broken, nothing runs twice, and what was refused has not run.

--- a/tests/core/passthrough/mesh.py
+++ b/tests/core/passthrough/mesh.py
@@ -131,6 +131,8 @@
     accept_s: float = 0.0
     #: Part of each tenth of a second that each balancer gets; 0 for all of it.
     share: float = 0.0
+    #: When each process that stands still wakes up.
+    wakes: dict = attrs.field(factory=dict)
 
     def at(self, time, action, *arguments):
         heapq.heappush(
@@ -195,6 +197,10 @@
     def report(self, name, agent, turn=0):
         if self.agents.get(name) is not agent:
             return
+        wake = self.find_wake(name)
+        if wake is not None:
+            self.at(wake, self.report, name, agent, turn)
+            return
         load = Report(agent.describe_load(self.now))
         far = not turn % FAR_REPORTS
         for balancer in self.balancers:
@@ -203,7 +209,10 @@
         self.at(self.now + 0.2, self.report, name, agent, turn + 1)
 
     def expire_agent(self, name, agent):
-        if self.agents.get(name) is agent:
+        wake = self.find_wake(name)
+        if wake is not None:
+            self.at(wake, self.expire_agent, name, agent)
+        elif self.agents.get(name) is agent:
             self.carry_out(name, agent.expire(self.now))
             self.at(self.now + 0.025, self.expire_agent, name, agent)
 
@@ -227,7 +236,7 @@
     def receive(self, sender, receiver, data):
         message = FLOW_CODEC.decode(data, sender).unwrap()
         process = self.balancers.get(receiver) or self.agents.get(receiver)
-        wake = self.find_wake() if receiver in self.balancers else None
+        wake = self.find_wake(receiver)
         if wake is not None:
             # What is due is looked at before what has come meanwhile.
             self.at(wake + 1e-6, self.receive, sender, receiver, data)
@@ -258,8 +267,12 @@
         if due is not None:
             self.at(max(due, self.now), self.expire_balancer, name)
 
-    def find_wake(self):
-        """Return when balancers that have used up their time run again."""
+    def find_wake(self, name):
+        """Return when a process that stands still runs again."""
+        if self.wakes.get(name, 0.0) > self.now:
+            return self.wakes[name]
+        if name not in self.balancers:
+            return None
         period = int(self.now * 10 + 1e-6)
         if not self.share or self.now * 10 - period <= self.share:
             return None
@@ -267,7 +280,7 @@
 
     def expire_balancer(self, name):
         balancer = self.balancers.get(name)
-        wake = self.find_wake()
+        wake = self.find_wake(name)
         if wake is not None:
             self.at(wake, self.expire_balancer, name)
         elif balancer is not None:
@@ -326,7 +339,10 @@
 
     def leave_target(self, name, packet):
         agent = self.agents.get(name)
-        if agent is not None and name not in self.cut:
+        wake = self.find_wake(name)
+        if wake is not None:
+            self.at(wake + 1e-6, self.leave_target, name, packet)
+        elif agent is not None and name not in self.cut:
             self.carry_out(name, agent.receive_packet(packet, self.now))
 
     def call(
@@ -397,7 +413,7 @@
 
     def enter(self, name, packet):
         balancer = self.balancers.get(name)
-        wake = self.find_wake()
+        wake = self.find_wake(name)
         if wake is not None:
             self.at(wake + 1e-6, self.enter, name, packet)
         elif balancer is not None and name not in self.cut:
--- /dev/null
+++ b/tests/core/passthrough/steps/fault_steps.py
@@ -0,0 +1,99 @@
+"""Steps on callers while processes and links misbehave."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from behave import given
+from behave import then
+from behave import when
+
+#: Time that is played after the last call, in seconds.
+TAIL = 6.0
+
+
+@given('{count:d} callers will call within {length:d} s')
+def plan_calls(context, count, length):
+    mesh = context.mesh
+    mesh.run(1)
+    random = Random(6)
+    names = list(mesh.balancers)
+    context.start = mesh.now
+    context.length = length
+    context.calls = []
+
+    def call():
+        name = random.choice(names)
+        context.calls.append(mesh.call(name, retries=2))
+
+    for _ in range(count):
+        mesh.at(mesh.now + random.uniform(0, length), call)
+
+
+def finish(context):
+    context.mesh.run(context.start + context.length + TAIL - context.mesh.now)
+
+
+@when('{part:d} of 100 messages between balancers and agents are lost')
+def lose(context, part):
+    random = Random(7)
+    context.mesh.lost = lambda *_: random.random() < part / 100
+    finish(context)
+
+
+@when('{what} stands still from {begin:d} s on for {length:f} s')
+def stand_still(context, what, begin, length):
+    mesh = context.mesh
+    names = mesh.agents if what == 'an agent' else mesh.balancers
+    mesh.run(begin)
+    mesh.wakes[next(iter(names))] = mesh.now + length
+    context.woken = mesh.now + length
+    finish(context)
+
+
+@when(
+    'each process stands still for {length:f} s each second, at its own time'
+)
+def stand_still_in_turn(context, length):
+    mesh = context.mesh
+    for number, name in enumerate((*mesh.agents, *mesh.balancers)):
+        for second in range(context.length):
+            begin = mesh.now + second + number * 0.15
+            mesh.at(begin, mesh.wakes.__setitem__, name, begin + length)
+    finish(context)
+
+
+@then('{count:d} calls are answered')
+def check_answered(context, count):
+    ends = [context.mesh.find_end(one).outcome for one in context.calls]
+    assert Counter(ends) == {'answered': count}, Counter(ends)
+
+
+@then(
+    'no flow was broken, none has run twice, and none that was refused has run'
+)
+def check_whole(context):
+    attempts = context.mesh.attempts
+    assert 'broken' not in {one.outcome for one in attempts.values()}
+    targets = context.mesh.targets.values()
+    runs = sum((target.runs for target in targets), Counter())
+    assert max(runs.values()) == 1
+    refused = [f for f, one in attempts.items() if one.outcome == 'refused']
+    assert not any(runs[flow] for flow in refused)
+
+
+@then(
+    'the calls from {pause:d} s after that on are answered within {bound:d} ms'
+)
+def check_later(context, pause, bound):
+    since = context.woken + pause
+    calls = [one for one in context.calls if one.began_at >= since]
+    assert calls
+    late = [
+        one
+        for one in calls
+        if one.outcome != 'answered'
+        or (one.ended_at - one.began_at) * 1000 > bound
+    ]
+    assert not late, late
