Let the soak end when one of its duties fails

Trace, from its logs: both agents of the service had been started anew and no target reported to them any more. The task that sends the targets' reports had ended when a frozen agent let a call time out; the HTTP client raises that even where errors are not to be raised.

Change: a call without an answer counts as such whatever the client raises, and a soak whose duties have stopped fails with their error.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -311,10 +311,14 @@
                 for duty in (self.call_all, self.operate)
             ]
             await self.strike()
-            await self.settle(work)
+            for task in work:
+                task.cancel()
+            await join_cancelled(work)
+            await self.settle()
         finally:
             for task in duties:
                 task.cancel()
+            await join_cancelled(duties)
         targets = list(self.targets.values())
         return find_faults(self.callers.calls, targets, self.operator)
 
@@ -326,13 +330,10 @@
                 return
             await asyncio.sleep(0.1)
 
-    async def settle(self, work):
+    async def settle(self):
         """Look for what must hold once the faults are over."""
         loop = asyncio.get_running_loop()
         end = loop.time() + self.bounds.recovery
-        for task in work:
-            task.cancel()
-        await asyncio.gather(*work, return_exceptions=True)
         lacking = await self.find_lacking()
         while lacking and loop.time() < end:
             await asyncio.sleep(0.2)
@@ -359,6 +360,17 @@
             machine.kill()
 
 
+async def join_cancelled(tasks):
+    """Wait for tasks that were cancelled.
+
+    :raises Exception: what one of them has failed with; a soak whose duties
+        have stopped shows nothing
+    """
+    for result in await asyncio.gather(*tasks, return_exceptions=True):
+        if not isinstance(result, asyncio.CancelledError | None):
+            raise result
+
+
 def play(seed, length, bounds):
     """Play one seed.
 
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -12,6 +12,7 @@
 from loopback import HEADER
 from loopback import PacketTarget
 from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import HTTPError
 
 ACK, FIN, RST, SYN = 4, 2, 128, 8
 CALLER_HOST = '127.0.9.1'
@@ -253,7 +254,7 @@
             request_timeout=timeout,
             **options,
         )
-    except OSError:
+    except (HTTPError, OSError):
         return NO_ANSWER, b''
     return response.code, response.body
 
