Find the former identities of an instance in one place

Three places in the membership changes selected the identities of one instance by hand, one of them new with the observers. Behaviour is the same: scenarios of consensus, platform and replicator pass (124 and 64), make check is clean.

--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/changes.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/changes.py
@@ -207,12 +207,7 @@
 
 
 def _add_learner(membership: Membership, joiner: str) -> Membership:
-    instance = name_instance(joiner)
-    replaced = tuple(
-        learner
-        for learner in membership.learners
-        if name_instance(learner) == instance
-    )
+    replaced = _find_former(membership.learners, joiner)
     kept = _leave_out(membership.learners, replaced)
     return attrs.evolve(
         membership,
@@ -226,16 +221,21 @@
 
     Its former identities held nothing that counts and need no retirement.
     """
-    instance = name_instance(joiner)
-    former = tuple(
-        observer
-        for observer in membership.observers
-        if name_instance(observer) == instance
-    )
+    former = _find_former(membership.observers, joiner)
     kept = _leave_out(membership.observers, former)
     return attrs.evolve(membership, observers=(*kept, joiner))
 
 
+def _find_former(identities: tuple[str, ...], newest: str) -> tuple[str, ...]:
+    """Return the identities of the instance that has a newer one."""
+    instance = name_instance(newest)
+    return tuple(
+        identity
+        for identity in identities
+        if name_instance(identity) == instance
+    )
+
+
 def _leave_out(
     identities: tuple[str, ...], left_out: tuple[str, ...]
 ) -> tuple[str, ...]:
@@ -246,12 +246,7 @@
 
 def _take_in(membership: Membership, learner: str) -> Membership:
     """Remove the instance's lost identity, or else let the new one vote."""
-    instance = name_instance(learner)
-    lost = tuple(
-        voter
-        for voter in membership.voters
-        if name_instance(voter) == instance
-    )
+    lost = _find_former(membership.voters, learner)
     if lost:
         return attrs.evolve(
             membership,
