Count no node as applying what it was not heard to apply

Cause: a control instance works out which members are its own once a second. One that has just started does so on an empty state, replays its log, and then reports the newest revision with no own member behind, so that members it has not heard count as applying it.

Ruled out: stale progress in the log (the former report names the node as behind; only the new one leaves it out), and the node's own state (it was current at revision 0, as shown, since its instance went before the changes).

Change: the own members are derived from the newest state whenever progress is measured, and kept as long as the members are the same.

Before: the new scenario failed (in force at 1 of 1 nodes, which was cut off before the change); after: passes. Conclusion: the supposed cause was the cause of this count; the failure itself was not provoked again on the daemon.

--- a/packages/pistachiohook-core/src/pistachiohook_core/membership/holder.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/membership/holder.py
@@ -26,6 +26,7 @@
 
 if TYPE_CHECKING:
     from ..configuration.state import Step
+    from .members import Member
 
 #: Longest time between two reports of a control instance, in seconds.
 REPORT_INTERVAL = 1.0
@@ -101,6 +102,7 @@
     _reported: Progress | None = None
     _reported_at: float = float('-inf')
     _own: frozenset[str] = frozenset()
+    _own_among: dict[str, Member] | None = None
     _adopted_at: float = float('-inf')
     _leader: str | None = None
     _fresh: bool = False
@@ -206,11 +208,6 @@
         self._leader = leader
         if now - self._adopted_at >= REPORT_INTERVAL:
             self._adopted_at = now
-            self._own = frozenset(
-                member.node
-                for member in self.state.members.values()
-                if member.holder == self.instance
-            )
             leads = fresh and leader == self.instance
             self.leases.adopt(self.state.members.values(), leads, now)
         before = set(self._expired)
@@ -303,6 +300,22 @@
             for name, node in self._nodes.items()
             if node.applied < newest
         }
-        unheard = dict.fromkeys(self._own - self._nodes.keys(), 0)
+        unheard = dict.fromkeys(self._list_own() - self._nodes.keys(), 0)
         behind = sorted({**unheard, **lagging}.items())
         return Progress(newest, tuple(Laggard(*pair) for pair in behind))
+
+    def _list_own(self) -> frozenset[str]:
+        """Return the members that this instance holds by its newest state.
+
+        Progress that names the newest revision must name all of them: one left
+        out would count as applying it.
+        """
+        members = self.state.members
+        if members is not self._own_among:
+            self._own_among = members
+            self._own = frozenset(
+                member.node
+                for member in members.values()
+                if member.holder == self.instance
+            )
+        return self._own
--- a/tests/core/membership/fakes.py
+++ b/tests/core/membership/fakes.py
@@ -151,10 +151,14 @@
     def restart(self, control):
         """Start a control instance from what its disk holds."""
         kept = encode_state(control.holder.state)
+        self.restart_empty(control)
+        control.holder.restart(decode_state(kept, 'disk').unwrap())
+
+    def restart_empty(self, control):
+        """Start a control instance that has its log still to replay."""
         control.holder = Holder(
             control.name, LeaseTable(control.name, self.now)
         )
-        control.holder.restart(decode_state(kept, 'disk').unwrap())
         control.up = True
 
     def advance(self, seconds):
--- a/tests/core/membership/membership.feature
+++ b/tests/core/membership/membership.feature
@@ -95,6 +95,13 @@
     And 1 seconds pass
     Then the newest revision is in force at all nodes but "n1"
 
+  Scenario: A node that control has not heard since it started does not count as applying anything
+    Given node "n" is up to date
+    When node "n" is cut off and 1 changes are accepted
+    And every control instance is killed
+    And control starts with an empty state, and replays the log later
+    Then the newest revision is in force at all nodes but "n"
+
   Scenario: Revisions only grow, and all nodes converge
     Then random faults never make a node go back, and all converge
 
--- a/tests/core/membership/steps/membership_steps.py
+++ b/tests/core/membership/steps/membership_steps.py
@@ -231,6 +231,18 @@
         context.world.restart(control)
 
 
+@when('control starts with an empty state, and replays the log later')
+def replay(context):
+    world = context.world
+    for control in world.controls.values():
+        world.restart_empty(control)
+        control.isolated = True
+    world.advance(0.3)
+    for control in world.controls.values():
+        control.isolated = False
+    world.advance(0.3)
+
+
 @then('node "{name}" has heard of none and serves')
 def compare_silent(context, name):
     subscription = context.world.find_node(name).subscription
