Name nodes in the answers of the own zone alone

Ruled out: flows placed in other zones (none), second offers (none).

Change: a question says whether the answer should name nodes; it should not when an instance of the own zone with a quorum answers.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
@@ -84,6 +84,15 @@
         for nodes in (self._balancers, self._relayed, self._controls):
             _drop_old(nodes, now - NODE_TIMEOUT)
 
+    def list_for(
+        self, hello: Hello
+    ) -> tuple[tuple[Node, ...], tuple[Node, ...]]:
+        """Return the control instances and balancers that an answer names."""
+        if hello.brief:
+            return (), ()
+        balancers = self.list_balancers() if hello.role == AGENT else ()
+        return self.list_controls(), balancers
+
     def list_heard(self) -> tuple[Node, ...]:
         """Return the balancers that were heard here."""
         return tuple(self._balancers)
@@ -126,18 +135,20 @@
         Those of the own zone while they answer and have a quorum; else all.
         """
         self._forget(now)
-        near = tuple(
-            sender
-            for sender, (welcome, heard_at) in self._welcomes.items()
-            if welcome.node.zone == self.zone
-            and now - heard_at <= ANSWER_TIMEOUT
-            and welcome.proof_age_ms <= PROOF_AGE_MAX_MS
-        )
+        near = self._list_near(now)
         if near and now - self._surveyed_at < SURVEY_INTERVAL:
             return near
         self._surveyed_at = now
         return self.list_controls()
 
+    def wants_brief(self, control: Address, now: float) -> bool:
+        """Tell whether the answer of a control instance should name no nodes.
+
+        Those of the own zone name them all, and bytes between zones cost.
+        """
+        near = self._list_near(now)
+        return bool(near) and control not in near
+
     def list_controls(self) -> tuple[Address, ...]:
         """Return every control instance that is known."""
         return tuple(dict.fromkeys((*self.seeds, *self._controls)))
@@ -167,6 +178,15 @@
             for welcome, heard_at in self._welcomes.values()
         )
 
+    def _list_near(self, now: float) -> tuple[Address, ...]:
+        return tuple(
+            sender
+            for sender, (welcome, heard_at) in self._welcomes.items()
+            if welcome.node.zone == self.zone
+            and now - heard_at <= ANSWER_TIMEOUT
+            and welcome.proof_age_ms <= PROOF_AGE_MAX_MS
+        )
+
     def _forget(self, now: float) -> None:
         _drop_old(self._controls, now - CONTROL_TIMEOUT)
         _drop_old(self._balancers, now - LISTED_TIMEOUT)
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -181,11 +181,13 @@
     :param role: balancer, agent or control
     :param node: who asks
     :param balancers: balancers that a control instance has heard itself
+    :param brief: whether the answer should name no nodes
     """
 
     role: str
     node: Node
     balancers: tuple[Node, ...] = ()
+    brief: bool = False
 
 
 @attrs.frozen
@@ -196,8 +198,9 @@
     :param version: version of the routes that are in force; 0 when none is
     :param proof_age_ms: age of the instance's last proof of a quorum
     :param routes: where the routes are fetched (HTTP), ``host:port``
-    :param controls: control instances that are heard
-    :param balancers: balancers that are heard; empty for a balancer
+    :param controls: control instances that are heard; empty in a brief answer
+    :param balancers: balancers that are heard; empty for a balancer and in a
+        brief answer
     """
 
     node: Node
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/asking.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/asking.py
@@ -44,7 +44,8 @@
         now = loop.time()
         asked = finder.choose_controls(now)
         for address in asked:
-            send(address, Hello(role, node))
+            brief = finder.wants_brief(address, now)
+            send(address, Hello(role, node, brief=brief))
         answers = finder.find_newest(now) is not None
         if answers != heard:
             heard = answers
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -15,7 +15,6 @@
 from pistachiohook_core.events import ROUTES_REFUSED
 from pistachiohook_core.events import ROUTES_UNCERTAIN
 from pistachiohook_core.failures import Failure
-from pistachiohook_core.passthrough.discovery import AGENT
 from pistachiohook_core.passthrough.discovery import CONTROL
 from pistachiohook_core.passthrough.discovery import Directory
 from pistachiohook_core.passthrough.discovery import Finder
@@ -174,16 +173,14 @@
         if not isinstance(message, Hello):
             return
         self.directory.hear(message, now)
-        balancers: tuple[Node, ...] = ()
-        if message.role == AGENT:
-            balancers = self.directory.list_balancers()
+        controls, balancers = self.directory.list_for(message)
         age = self.replicator.freshness(time.monotonic())
         welcome = Welcome(
             self.directory.node,
             self.orders.held.version,
             int(min(age, AGE_MAX) * 1000),
             str(self.settings.routes),
-            self.directory.list_controls(),
+            controls,
             balancers,
         )
         self.send(sender, welcome)
--- a/tests/core/passthrough/discovery.feature
+++ b/tests/core/passthrough/discovery.feature
@@ -26,6 +26,20 @@
     When "c1" of zone "x" answers for 2.5 seconds
     Then it has asked "c2" at least 1 time
 
+  Scenario: Nodes are named by the own zone alone while it answers
+    Given a node in zone "x" with the seeds "c1" and "c2"
+    Then "c2" should name nodes
+    When "c1" of zone "x" and "c2" of zone "y" answer
+    Then "c1" should name nodes
+    And "c2" should name none
+    And after 1.2 seconds without an answer "c2" should name nodes
+
+  Scenario: A brief answer names no nodes
+    Given control instances "c1" and "c2"
+    When a balancer "b1" says hello to "c1"
+    Then an agent that asks "c1" for a brief answer is told nobody
+    And an agent that asks "c1" is told "b1"
+
   Scenario: Routes count as confirmed only with a quorum behind an answer
     Given a node in zone "x" with the seeds "c1" and "c2"
     When "c1" of zone "x" answers with version 7 and a proof that is 1500 ms old
