Say little between zones while nobody calls

Cause: each agent reported to every balancer of the other zones each second, and each control instance told the others each 0.4 s which balancers it hears, both also when there is nothing new.

Ruled out: a balancer that starts anew going without agents for longer. It now names its start, so that agents take it for another one and report at once.

Change: reports to other zones each 3 s instead of each second (a change of the target's state still at once), their silence bound accordingly 7 s instead of 3 s; control instances tell each other at once when they hear another set, else each second. Two scenarios, of which the idle one fails with the former interval.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
@@ -55,6 +55,10 @@
 #: instances, in milliseconds: a few of a leader's heartbeats.
 PROOF_AGE_MAX_MS = 1000
 
+#: Time between two messages of a control instance to the others when it hears
+#: the same balancers, in seconds: two may be lost before they forget one.
+GOSSIP_INTERVAL = 1.0
+
 #: Time between two questions to all control instances, in seconds.
 SURVEY_INTERVAL = 2.0
 
@@ -121,13 +125,22 @@
     _balancers: dict[Node, float] = attrs.field(factory=dict)
     _surveyed_at: float = float('-inf')
 
-    def hear(self, sender: Address, welcome: Welcome, now: float) -> None:
-        """Take the answer of a control instance."""
+    def hear(
+        self, sender: Address, welcome: Welcome, now: float
+    ) -> tuple[Node, ...]:
+        """Take the answer of a control instance.
+
+        :returns: balancers that were not known, such as one that started anew
+        """
+        fresh = tuple(
+            node for node in welcome.balancers if node not in self._balancers
+        )
         self._welcomes[sender] = (welcome, now)
         for address in _list_addresses(welcome.controls):
             self._controls[address] = now
         for node in welcome.balancers:
             self._balancers[node] = now
+        return fresh
 
     def choose_controls(self, now: float) -> tuple[Address, ...]:
         """Return the control instances to ask now.
@@ -154,8 +167,11 @@
         return tuple(dict.fromkeys((*self.seeds, *self._controls)))
 
     def list_balancers(self) -> tuple[Node, ...]:
-        """Return the balancers that control has listed of late."""
-        return tuple(self._balancers)
+        """Return the balancers that control has listed of late.
+
+        One that has started anew is listed once.
+        """
+        return tuple({node.address: node for node in self._balancers}.values())
 
     def find_newest(self, now: float) -> Welcome | None:
         """Return the newest answer with the highest version.
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -168,10 +168,12 @@
 
     :param address: where it receives messages about flows, ``host:port``
     :param zone: availability zone
+    :param started: start of a balancer, in milliseconds of the time of day
     """
 
     address: str
     zone: str
+    started: int = 0
 
 
 @attrs.frozen
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
@@ -17,12 +17,22 @@
     from .messages import Load
     from .routes import Route
 
+#: Time between two reports of an agent to the balancers of its own zone, in
+#: seconds: a few flows of one balancer.
+REPORT_INTERVAL = 0.2
+
+#: Reports to the own zone for each one to the other zones: bytes between zones
+#: cost, and balancers there send flows here only when theirs are full, and
+#: then hear of each flow.
+FAR_REPORTS = 15
+
 #: Longest silence of an agent of the own zone that gets new flows, in
 #: seconds: four of its reports.
-SILENCE_NEAR = 0.8
+SILENCE_NEAR = 4 * REPORT_INTERVAL
 
-#: The same for an agent of another zone, which reports more rarely.
-SILENCE_FAR = 3.0
+#: The same for an agent of another zone, in seconds: two of its reports, and
+#: a margin.
+SILENCE_FAR = 7.0
 
 #: Share of a route's target latency that a flow rather waits than that its
 #: bytes cross zones: a wait of this length leaves most answers in time.
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
@@ -21,6 +21,8 @@
 from pistachiohook_core.passthrough.messages import Report as LoadReport
 from pistachiohook_core.passthrough.messages import TargetState
 from pistachiohook_core.passthrough.messages import Welcome
+from pistachiohook_core.passthrough.placement import FAR_REPORTS
+from pistachiohook_core.passthrough.placement import REPORT_INTERVAL
 from pistachiohook_core.passthrough.segments import read_flow
 from pistachiohook_core.passthrough.segments import write_host
 
@@ -43,14 +45,6 @@
     from .carrying import SendMessage
     from .settings import AgentSettings
 
-#: Time between two reports to the balancers of the own zone, in seconds: a
-#: few flows of one balancer.
-REPORT_INTERVAL = 0.2
-
-#: Reports to the own zone for each one to the other zones, whose balancers
-#: send flows here only when theirs are full, and bytes between zones cost.
-FAR_REPORTS = 5
-
 #: Time between two looks at what is over, in seconds: a third of the wait
 #: for a target.
 EXPIRE_INTERVAL = 0.025
@@ -114,10 +108,7 @@
         """Take a message from control or a balancer."""
         now = self._now()
         if isinstance(message, Welcome):
-            known = self.finder.list_balancers()
-            self.finder.hear(sender, message, now)
-            fresh = set(self.finder.list_balancers()).difference(known)
-            self._report_to(fresh)
+            self._report_to(self.finder.hear(sender, message, now))
             return
         self._carry_out(self.agent.receive_message(sender, message, now))
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from functools import partial
+import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -229,7 +230,8 @@
     finder = Finder(node.zone, node.controls)
     send = build_sender(link)
     role = BalancerRole(settings, balancer, finder, entry, link, send, report)
-    itself = Node(str(node.link), node.zone)
+    started = int(time.time() * 1000)
+    itself = Node(str(node.link), node.zone, started)
     receive = build_receiver(role.take_message, report)
     supervisor.supervise('entry', partial(entry.serve, role.take_packet))
     supervisor.supervise('link', partial(link.serve, receive))
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -18,7 +18,8 @@
 from pistachiohook_core.passthrough.discovery import CONTROL
 from pistachiohook_core.passthrough.discovery import Directory
 from pistachiohook_core.passthrough.discovery import Finder
-from pistachiohook_core.passthrough.discovery import HELLO_INTERVAL
+from pistachiohook_core.passthrough.discovery import GOSSIP_INTERVAL
+from pistachiohook_core.passthrough.discovery import HELLO_INTERVAL_LACKING
 from pistachiohook_core.passthrough.messages import Hello
 from pistachiohook_core.passthrough.messages import Node
 from pistachiohook_core.passthrough.messages import Welcome
@@ -188,14 +189,21 @@
     async def gossip(self) -> None:
         """Tell the other control instances who is heard, until cancelled."""
         loop = asyncio.get_running_loop()
+        told: tuple[tuple[Node, ...], ...] = ()
+        told_at = float('-inf')
         while True:
             self.directory.forget(loop.time())
             heard = self.directory.list_heard()
-            hello = Hello(CONTROL, self.directory.node, heard)
-            for address in self.finder.list_controls():
-                if address != self.settings.node.link:
-                    self.send(address, hello)
-            await asyncio.sleep(HELLO_INTERVAL)
+            known = (heard, self.directory.list_controls())
+            if known != told or loop.time() - told_at >= GOSSIP_INTERVAL:
+                told, told_at = known, loop.time()
+                self._tell_others(Hello(CONTROL, self.directory.node, heard))
+            await asyncio.sleep(HELLO_INTERVAL_LACKING)
+
+    def _tell_others(self, hello: Hello) -> None:
+        for address in self.finder.list_controls():
+            if address != self.settings.node.link:
+                self.send(address, hello)
 
     def _report_uncertain(self, version: int, failure: Failure) -> None:
         self.report(
--- a/tests/core/passthrough/discovery.feature
+++ b/tests/core/passthrough/discovery.feature
@@ -63,6 +63,16 @@
     Then the balancer "b1" is known
     And after 7 seconds it is known no more
 
+  Scenario: A balancer that has started anew is reported to at once
+    Given a node in zone "x" with the seeds "c1" and "c2"
+    When "c1" of zone "x" answers and lists the balancer "b1" started at 1
+    Then it is new
+    When "c1" of zone "x" answers and lists the balancer "b1" started at 1
+    Then it is not new
+    When "c1" of zone "x" answers and lists the balancer "b1" started at 2
+    Then it is new
+    And one balancer is known
+
   Scenario Outline: A route set is held by its number: <case>
     Given the routes of version 5 are held
     When an order of version <version> with <content> is applied
--- a/tests/core/passthrough/placing.feature
+++ b/tests/core/passthrough/placing.feature
@@ -79,6 +79,12 @@
     Then all calls are answered and no target has shed any
     And no agent was taken for silent
 
+  Scenario: While nobody calls, little is said between zones
+    Given balancers in zones "x" and "y" with 4 agents each
+    When nobody calls for 30 s
+    Then each agent has sent the other zone's balancer at most 11 messages
+    And every balancer hears 8 agents
+
   Scenario: A caller that is refused is not offered anew when its repeats come late
     Given 1 balancers in zone "x" with 1 agents whose targets queue 4
     When the target starts to leave, and a caller's opening packet comes with its repeats after 0.7 s
--- a/tests/core/passthrough/steps/discovery_steps.py
+++ b/tests/core/passthrough/steps/discovery_steps.py
@@ -92,6 +92,32 @@
     answer(context, name, zone, balancers=(other,))
 
 
+@when(
+    '"{name}" of zone "{zone}" answers and lists the balancer "{other}"'
+    ' started at {started:d}'
+)
+def answer_listing_start(context, name, zone, other, started):
+    control = make_node(name, zone)
+    balancer = Node(str(HOSTS[other]), 'x', started)
+    welcome = Welcome(control, 1, 0, 'routes:1', (control,), (balancer,))
+    context.fresh = context.finder.hear(HOSTS[name], welcome, context.now)
+
+
+@then('it is new')
+def is_new(context):
+    assert len(context.fresh) == 1
+
+
+@then('it is not new')
+def is_not_new(context):
+    assert not context.fresh
+
+
+@then('one balancer is known')
+def knows_one(context):
+    assert len(context.finder.list_balancers()) == 1
+
+
 @when('"{name}" of zone "{zone}" answers and lists nobody')
 def answer_empty(context, name, zone):
     answer(context, name, zone)
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -714,3 +714,24 @@
         if isinstance(action, Send) and isinstance(action.message, Offer)
     ]
     assert len(offers) == 1, context.actions
+
+
+@when('nobody calls for {length:d} s')
+def pass_idle(context, length):
+    context.mesh.crossed = 0
+    context.mesh.run(length)
+
+
+@then(
+    "each agent has sent the other zone's balancer at most {most:d} messages"
+)
+def said_little(context, most):
+    mesh = context.mesh
+    assert mesh.crossed <= most * len(mesh.agents), mesh.crossed
+
+
+@then('every balancer hears {number:d} agents')
+def hears_all(context, number):
+    mesh = context.mesh
+    for balancer in mesh.balancers.values():
+        assert balancer.count_agents(mesh.now) == number
