Report each datagram that the system does not take

Cause: an error of the system at sending was turned into a return value that nobody looked at, and a refusal on reading was passed over. Change: both are logged with peer and reason, bounded as all events are.

--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -212,6 +212,12 @@
 MESSAGE_UNREADABLE = Event(
     5003, Level.WARNING, 'A message that could not be decoded was dropped.'
 )
+DATAGRAM_DROPPED = Event(
+    5006,
+    Level.WARNING,
+    'A datagram was not sent or not taken by the system; it is gone.',
+    'Look at the reason; a full buffer is overload, others are the network.',
+)
 
 #: Every event by its number.
 EVENTS: dict[int, Event] = {
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/wiring.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/wiring.py
@@ -80,7 +80,7 @@
     :raises OSError: when an address cannot be bound or a file not be read
     """
     around = _Surroundings(settings, own, link_keys, metrics, report)
-    sealed = DatagramSocket(own.sealed)
+    sealed = DatagramSocket(own.sealed, report)
     peers = PeerLinks(own.target, PEER_CODEC, link_keys, report)
     keeper = WeightKeeper(own.slots)
     target = _describe_target(around, sealed, peers, keeper.weight)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/balancer/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/balancer/role.py
@@ -143,11 +143,11 @@
     :param report: logs an event
     :raises OSError: when an address cannot be bound
     """
-    sealed = DatagramSocket(own.sealed)
+    sealed = DatagramSocket(own.sealed, report)
     address = sealed.open()
     entries = {
         entry.service_address: DatagramSocket(
-            entry.bind or entry.service_address
+            entry.bind or entry.service_address, report
         )
         for entry in own.entries
     }
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/datagrams.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/datagrams.py
@@ -8,10 +8,13 @@
 
 import attrs
 from pistachiohook_core.addresses import Address
+from pistachiohook_core.events import DATAGRAM_DROPPED
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from .logs import Report
+
 #: Datagrams that a socket hands on before other tasks get their turn, unless
 #: it is told otherwise.
 BATCH = 64
@@ -28,10 +31,12 @@
     """State of one bound UDP socket.
 
     :param bind: address to bind; port 0 lets the system choose
+    :param report: logs an event
     :param batch: datagrams that are taken before other tasks get their turn
     """
 
     bind: Address
+    report: Report
     batch: int = BATCH
     _socket: socket.socket | None = None
 
@@ -58,7 +63,13 @@
             return False
         try:
             self._socket.sendto(data, (address.host, address.port))
-        except OSError:
+        except OSError as error:
+            self.report(
+                DATAGRAM_DROPPED,
+                peer=str(address),
+                length=len(data),
+                reason=str(error),
+            )
             return False
         return True
 
@@ -94,7 +105,9 @@
                 data, peer = self._socket.recvfrom(DATAGRAM_MAX)
             except BlockingIOError:
                 return
-            except ConnectionRefusedError:
+            except ConnectionRefusedError as error:
+                # An earlier datagram has reached nobody.
+                self.report(DATAGRAM_DROPPED, reason=str(error))
                 continue
             try:
                 receive(data, Address(*peer))
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
@@ -186,8 +186,8 @@
     :raises OSError: when an address can't be bound
     """
     node = settings.node
-    link = DatagramSocket(node.link)
-    outbound = DatagramSocket(settings.outbound)
+    link = DatagramSocket(node.link, report)
+    outbound = DatagramSocket(settings.outbound, report)
     link.open()
     outbound.open()
     agent = Agent(
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
@@ -217,8 +217,8 @@
     :raises OSError: when an address can't be bound
     """
     node = settings.node
-    entry = DatagramSocket(settings.entry, ENTRY_BATCH)
-    link = DatagramSocket(node.link)
+    entry = DatagramSocket(settings.entry, report, ENTRY_BATCH)
+    link = DatagramSocket(node.link, report)
     entry.open()
     link.open()
     balancer = Balancer(
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -253,7 +253,7 @@
         ),
     )
     proposer = Proposer(name, replicator, peers.send)
-    link = DatagramSocket(node.link)
+    link = DatagramSocket(node.link, report)
     link.open()
     itself = Node(str(node.link), node.zone)
     role = ControlRole(
--- a/tests/daemon/datagrams/datagrams.feature
+++ b/tests/daemon/datagrams/datagrams.feature
@@ -6,3 +6,7 @@
     When both are served until all is read
     Then the 1 datagram was read after at most 16 of the 200
     And all 201 were read
+
+  Scenario: A datagram that the system does not take is not dropped in silence
+    When a datagram of 65530 bytes is sent
+    Then it is reported as dropped with the reason "too long"
--- a/tests/daemon/datagrams/steps/datagram_steps.py
+++ b/tests/daemon/datagrams/steps/datagram_steps.py
@@ -9,12 +9,17 @@
 from behave import then
 from behave import when
 from pistachiohook_core.addresses import Address
+from pistachiohook_core.events import DATAGRAM_DROPPED
 from pistachiohook_daemon.datagrams import DatagramSocket
 
 #: Longest wait for all datagrams to be read, in seconds.
 PATIENCE = 30.0
 
 
+def refuse(event, **fields):
+    raise AssertionError((event, fields))
+
+
 @given(
     'a socket with a batch of {batch:d} before which {count:d} datagrams wait'
 )
@@ -25,7 +30,7 @@
     if 'sockets' not in context:
         context.sockets = {}
         context.read = []
-    opened = DatagramSocket(Address('127.0.0.1', 0), batch)
+    opened = DatagramSocket(Address('127.0.0.1', 0), refuse, batch)
     address = opened.open()
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
         for _ in range(count):
@@ -70,3 +75,23 @@
 @then('all {count:d} were read')
 def check_all(context, count):
     assert len(context.read) == count
+
+
+@when('a datagram of {length:d} bytes is sent')
+def send_long(context, length):
+    context.events = []
+
+    def keep(event, **fields):
+        context.events.append((event, fields))
+
+    opened = DatagramSocket(Address('127.0.0.1', 0), keep)
+    address = opened.open()
+    context.taken = opened.send(bytes(length), address)
+
+
+@then('it is reported as dropped with the reason "{part}"')
+def is_reported(context, part):
+    assert not context.taken
+    ((event, fields),) = context.events
+    assert event is DATAGRAM_DROPPED
+    assert part in fields['reason'], fields
