Let disks, power and clocks fail in the soak, and addresses be used again

A process of the soak is started by a program of its own, which copies aside what the product has synced and lets disk and clock misbehave as a file says.

--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -21,6 +21,13 @@
 #: Longest wait for the end of a process, in seconds.
 PATIENCE = 30.0
 
+#: What runs as a process.
+PROGRAM = Path(__file__).with_name('process.py')
+
+#: Names in a machine's folder: its data folder, what a loss of power would
+#: leave of it, and what misbehaves.
+DATA, DURABLE, FAULTS = 'data', 'durable', 'faults.json'
+
 
 @attrs.define(eq=False)
 class Process:
@@ -29,6 +36,7 @@
     :param log: file that gets what it writes
     :param ending: whether it was told to end
     :param exits: how often it ended by itself
+    :param excused: whether it may end by itself, as its disk fails
     """
 
     role: str
@@ -38,11 +46,12 @@
     paused: bool = False
     ending: bool = False
     exits: int = 0
+    excused: bool = False
 
     def start(self):
         with self.log.open('ab') as log:
             self.running = subprocess.Popen(
-                [sys.executable, '-m', 'pistachiohook_platform', self.role],
+                [sys.executable, str(PROGRAM), self.role],
                 env={**os.environ, 'PISTACHIOHOOK_BOOT': str(self.settings)},
                 stdout=log,
                 stderr=log,
@@ -52,7 +61,7 @@
         """Start it anew when it has ended by itself."""
         ended = self.running is not None and self.running.poll() is not None
         if ended and not self.ending:
-            self.exits += 1
+            self.exits += not self.excused
             self.start()
 
     def terminate(self):
@@ -119,7 +128,7 @@
             ],
             'Seeds': list(self.seeds),
             'Bootstrap': self.bootstrap,
-            'DataDir': str(self.folder / 'data'),
+            'DataDir': str(self.folder / DATA),
             'Bounds': {'GraceS': 3},
             'Service': self.service,
             'app': self.text(APP),
@@ -150,7 +159,37 @@
 
     def wipe(self):
         """Lose the disk; no process of the machine may run."""
-        shutil.rmtree(self.folder / 'data', ignore_errors=True)
+        for name in (DATA, DURABLE):
+            shutil.rmtree(self.folder / name, ignore_errors=True)
+
+    def lose_power(self, part):
+        """End all processes and what was not synced, or most of it.
+
+        :param part: part of each file's unsynced end that stays
+        """
+        self.kill()
+        for path in (self.folder / DATA).glob('*'):
+            kept = self.folder / DURABLE / path.name
+            durable = kept.read_bytes() if kept.exists() else None
+            if durable is None:
+                path.unlink()
+                continue
+            written = path.read_bytes()
+            tail = b''
+            if written.startswith(durable):
+                tail = written[len(durable) :]
+            path.write_bytes(durable + tail[: int(len(tail) * part)])
+
+    def misbehave(self, **faults):
+        """Let the disk or the clock misbehave; nothing ends it."""
+        new = self.folder / 'new-faults'
+        new.write_text(json.dumps(faults))
+        new.rename(self.folder / FAULTS)
+
+    def excuse(self, excused):
+        """Let processes end by themselves, as their disk fails, or not."""
+        for process in self.processes.values():
+            process.excused = excused
 
 
 def find_ports():
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -48,6 +48,25 @@
     'drain',
     'reload',
 )
+#: The same with disks and clocks that misbehave, and addresses that are used
+#: again. Seeds of the former plans stay as they are.
+ALL_KINDS = (
+    *KINDS,
+    'lose_power',
+    'lose_power',
+    'lose_all_power',
+    'slow_disk',
+    'full_disk',
+    'failing_disk',
+    'jump_clock',
+    'reuse',
+    'reuse',
+)
+#: Faults of disks.
+DISK_KINDS = ('wipe', 'lose_power', 'slow_disk', 'full_disk', 'failing_disk')
+#: Time that a control instance needs to be back after its disk has failed, in
+#: seconds; no other one fails meanwhile.
+CATCH_UP = 2.0
 
 
 @attrs.frozen
@@ -65,12 +84,12 @@
     size: float
 
 
-def draw_plan(seed, length):
+def draw_plan(seed, length, kinds=ALL_KINDS):
     """Return the faults of a seed; the same each time."""
     random = Random(seed)
     at, plan = 0.0, []
     while (at := at + random.expovariate(1 / FAULT_PAUSE)) < length:
-        kind = random.choice(KINDS)
+        kind = random.choice(kinds)
         plan.append(Strike(at, kind, random.random(), random.random()))
     return plan
 
@@ -83,12 +102,14 @@
         that their number and order do not change the plan
     :param length: time in which faults come, in seconds
     :param bounds: times in which promises must hold
+    :param kinds: what the faults are drawn from
     """
 
     seed: int
     length: float
     folder: Path
     bounds: Bounds
+    kinds: tuple
     random: Random = attrs.field(init=False)
     machines: dict = attrs.field(factory=dict)
     targets: dict = attrs.field(factory=dict)
@@ -168,8 +189,9 @@
         target = self.targets[name]
         self.beats += 1
         state = 'draining' if name in self.leaving else 'ready'
+        service = self.machines[name].service
         body = (
-            f'{{"Service": "{name[0]}", "Slots": 4, "State": "{state}",'
+            f'{{"Service": "{service}", "Slots": 4, "State": "{state}",'
             f' "Seq": {self.beats}, "born": {target.born}}}'
         )
         address = self.machines[name].text(2)
@@ -274,6 +296,63 @@
         self.targets[name].flows.clear()
         self.targets[name].born += 1
 
+    async def lose_power(self, name, size):
+        """Lose what one control instance has not synced."""
+        self.machines[name].lose_power(size)
+        await asyncio.sleep(0.1 + 1.4 * size)
+        self.machines[name].start()
+
+    async def lose_all_power(self, _, size):
+        """The same at all control instances, after an acknowledgement."""
+        accepted = len(self.operator.accepted)
+        end = self.clock() + 3.0
+        while len(self.operator.accepted) == accepted and self.clock() < end:
+            await asyncio.sleep(0.005)
+        for name in self.controls:
+            self.machines[name].lose_power(size)
+        await asyncio.sleep(0.1 + 1.4 * size)
+        for name in self.controls:
+            self.machines[name].start()
+
+    async def misbehave(self, name, length, **faults):
+        machine = self.machines[name]
+        machine.misbehave(**faults)
+        await asyncio.sleep(length)
+        machine.misbehave()
+
+    async def slow_disk(self, name, size):
+        await self.misbehave(name, 3.0, delay=0.02 + 0.6 * size)
+
+    async def full_disk(self, name, size):
+        await self.fail_disk(name, size, full=True)
+
+    async def failing_disk(self, name, size):
+        await self.fail_disk(name, size, failing=True)
+
+    async def fail_disk(self, name, size, **faults):
+        machine = self.machines[name]
+        machine.excuse(True)
+        await self.misbehave(name, 0.5 + size, **faults)
+        await asyncio.sleep(CATCH_UP)
+        machine.excuse(False)
+
+    async def jump_clock(self, name, size):
+        """Let the time of day jump, and jump back."""
+        await self.misbehave(name, 3.0, clock=20 * size - 10)
+
+    async def reuse(self, name, size):
+        """Give a target's address to the other service for a while."""
+        machine = self.machines[name]
+        own = machine.service
+        for service in ({*'st'} - {own}).pop(), own:
+            machine.kill()
+            self.targets[name].flows.clear()
+            self.targets[name].name = f'{service}{name}'
+            self.targets[name].born += 1
+            machine.service = service
+            machine.start()
+            await asyncio.sleep(1.0 + 3.0 * size)
+
     async def reload(self, name, _):
         """Let the seeds change, with a signal."""
         machine = self.machines[name]
@@ -287,7 +366,11 @@
         """Return what a fault strikes."""
         if strike.kind == 'lose_packets':
             return 'fabric'
-        names = {'wipe': self.controls, 'drain': self.agents}.get(
+        if strike.kind == 'lose_all_power':
+            return 'controls'
+        at_controls = dict.fromkeys(DISK_KINDS, self.controls)
+        at_agents = dict.fromkeys(('drain', 'reuse'), self.agents)
+        names = {**at_controls, **at_agents}.get(
             strike.kind, list(self.machines)
         )
         return names[int(strike.place * len(names))]
@@ -305,7 +388,7 @@
         """Carry out the plan; faults overlap."""
         begin = self.clock()
         running = set()
-        for strike in draw_plan(self.seed, self.length):
+        for strike in draw_plan(self.seed, self.length, self.kinds):
             await asyncio.sleep(max(0.0, begin + strike.at - self.clock()))
             name = self.find_struck(strike)
             allowed = self.may_strike(name)
@@ -401,16 +484,17 @@
             raise result
 
 
-def play(seed, length, bounds):
+def play(seed, length, bounds, kinds=ALL_KINDS):
     """Play one seed.
 
     :param length: time in which faults come, in seconds
     :param bounds: times in which promises must hold
+    :param kinds: what the faults are drawn from
     :returns: the broken promises, the journal of faults and the outcomes of
         calls; the logs are kept only where a promise was broken
     """
     folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-    soak = Soak(seed, length, folder, bounds)
+    soak = Soak(seed, length, folder, bounds, kinds)
     try:
         faults = asyncio.run(soak.run())
     finally:
--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -4,12 +4,21 @@
 
 import asyncio
 import json
+from pathlib import Path
 from random import Random
+import shutil
+import tempfile
 
 import attrs
 from behave import given
 from behave import then
 from behave import when
+from machines import DATA
+from machines import FAULTS
+from machines import Machine
+from pistachiohook_daemon.control.disk import open_data_folder
+from process import Faults
+from process import open_disk
 import soak
 from traffic import Bounds
 from traffic import Call
@@ -22,12 +31,28 @@
     name: str
     ran: list = attrs.field(factory=list)
 
+    @property
+    def served_as(self):
+        return dict.fromkeys(self.ran, self.name)
+
 
 @when('seed {seed:d} is played with faults for {length:d} seconds')
 def play(context, seed, length):
     # A busy machine gives the same verdict; the bounds are for runs by hand.
     bounds = Bounds(soak.PATIENCE, soak.PATIENCE, soak.PATIENCE)
-    found = soak.play(seed, float(length), bounds)
+    play_kinds(context, seed, length, bounds, soak.KINDS)
+
+
+@when(
+    'seed {seed:d} is played with faults of all kinds for {length:d} seconds'
+)
+def play_all(context, seed, length):
+    bounds = Bounds(soak.PATIENCE, soak.PATIENCE, soak.PATIENCE)
+    play_kinds(context, seed, length, bounds, soak.ALL_KINDS)
+
+
+def play_kinds(context, seed, length, bounds, kinds):
+    found = soak.play(seed, float(length), bounds, kinds)
     context.faults, context.journal, context.outcomes = found
 
 
@@ -109,3 +134,36 @@
     assert not find('nothing')
     missed = [row['what'] for row in context.table if not find(row['what'])]
     assert not missed, missed
+
+
+@given('a disk with a synced file "{content}"')
+def open_watched(context, content):
+    folder = Path(tempfile.mkdtemp())
+    context.add_cleanup(shutil.rmtree, folder)
+    context.machine = Machine('c0', '127.0.0.1', 0, folder, ())
+    faults = Faults(folder / FAULTS)
+    context.files = open_disk(open_data_folder, faults, folder / DATA).files
+    context.files.write('file', content.encode())
+    context.files.sync('file')
+
+
+@when('{what}, and power is lost')
+def lose_power(context, what):
+    files = context.files
+    if what.startswith('"cd" is added'):
+        files.append('file', b'cd')
+    else:
+        files.write('other', b'new')
+        files.sync('other')
+        files.rename('other', 'file')
+    if what.endswith('added and synced'):
+        files.sync('file')
+    if what.endswith('for good'):
+        files.sync_folder()
+    context.machine.lose_power(0.5 if 'half' in what else 0.0)
+
+
+@then('the file holds "{content}"')
+def check_file(context, content):
+    path = context.machine.folder / DATA / 'file'
+    assert path.read_bytes() == content.encode()
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -65,6 +65,12 @@
         super().__init__(name, outbound)
         self.random = random
         self.opened = []
+        self.served_as = {}
+
+    def answer(self, entry, caller, flags, acknowledged, data=b''):
+        if flags & FIN:
+            self.served_as[caller] = self.name
+        super().answer(entry, caller, flags, acknowledged, data)
 
     def datagram_received(self, data, peer):
         flags = data[16]
@@ -265,7 +271,9 @@
         caller[1] for target in targets for caller in set(target.ran)
     )
     served = {
-        caller[1]: target.name for target in targets for caller in target.ran
+        caller[1]: name
+        for target in targets
+        for caller, name in target.served_as.items()
     }
     faults = list(operator.faults)
     for call in calls:
