--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -62,6 +62,12 @@
     'A call was not answered as it should be.',
     'Look at the error; a closed connection is the asker giving up.',
 )
+GENERATED_UNUSED = Event(
+    1010,
+    Level.WARNING,
+    'Methods that the build has compiled are not used; the start took longer.',
+    'Build again with the Python that runs the processes.',
+)
 BALANCER_UNHEALTHY = Event(
     2001,
     Level.WARNING,
