Do not reset a flow whose caller may have gone on elsewhere

From the logs: the caller's first opening packet went to a balancer whose offers were lost, the second one 200 ms later to another balancer, which had it opened; the first balancer gave up after 215 to 268 ms and reset the flow.

Ruled out for these: a late offer (the agents opened the flow for the second balancer), the withdrawal of offers (it reached them).

Change: a balancer knows by its number how often an opening packet was sent; when the next one is due and has not come here, it gives the flow up without a reset and logs that (event 2107).

Before: the new scenario broke the flow; after: answered. The soak now lets messages between machines be lost, late, out of order, or lost one way (late_links, cut_links).

--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -102,6 +102,12 @@
     'Routes could not be fetched from a control instance; another is tried.',
     'Check the control instance that is named as peer.',
 )
+FLOW_LEFT = Event(
+    2107,
+    Level.WARNING,
+    'No target takes a flow; its caller has gone on elsewhere: no reset.',
+    'Compare the load of the agents of the service.',
+)
 FLOW_FAILED = Event(
     3001,
     Level.ERROR,
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from ..events import FLOW_LEFT
 from ..events import FLOW_LOST
 from ..events import FLOW_OFFERED
 from ..events import FLOW_REFUSED
@@ -79,6 +80,11 @@
 #: in seconds.
 REPEAT_AGES = (0.0, 0.2, 0.6)
 
+#: Time after an opening packet in which its caller sends no other, in seconds,
+#: by how often it has sent one before, less a quarter of the shortest for
+#: packets that were read late.
+SINGLE_TIMES = (0.15, 0.35, 0.75)
+
 #: Flows that are remembered; the least recently used are forgotten first.
 FLOWS_MAX = 65_536
 
@@ -359,9 +365,7 @@
             self._await_answer(flow, entry, now + OFFER_TIMEOUT)
             return [] if former is None else [Send(former, Withdraw(flow))]
         if choice is None:
-            entry.state = EntryState.REFUSED
-            entry.agent = entry.opening = None
-            return self._refuse(flow, 'no target takes it', entry.offers)
+            return self._end_opening(flow, entry, now)
         entry.offers += 1
         choice.view.add_offer(flow)
         self.counts['offers'] += 1
@@ -377,6 +381,25 @@
             actions.append(Send(former, Withdraw(flow)))
         return actions
 
+    def _end_opening(
+        self, flow: bytes, entry: FlowEntry, now: float
+    ) -> list[Action]:
+        """Refuse a flow that no target takes.
+
+        A caller that has sent its opening packet again, and not here, may have
+        opened the flow through another balancer; a reset would break it.
+        """
+        assert entry.opening is not None
+        repeats = min(entry.opening.acknowledged, len(SINGLE_TIMES) - 1)
+        elsewhere = now - entry.touched_at > SINGLE_TIMES[repeats]
+        entry.state = EntryState.REFUSED
+        entry.agent = entry.opening = None
+        if not elsewhere:
+            return self._refuse(flow, 'no target takes it', entry.offers)
+        self.counts['flows_left'] += 1
+        fields = {'flow': describe_flow(flow), 'offers': entry.offers}
+        return [Log(FLOW_LEFT, fields)]
+
     def _choose(
         self,
         route: Route,
--- a/tests/core/passthrough/flows.feature
+++ b/tests/core/passthrough/flows.feature
@@ -84,6 +84,11 @@
     When a caller calls through "b1"
     Then the call is answered within 250 ms
 
+  Scenario: A balancer that reaches no agent does not reset a flow that opens through another
+    Given all messages of "b1" are lost
+    When a caller opens through "b1", and again through "b2"
+    Then the call is answered within 350 ms
+
   Scenario: A slow accept after a second offer leaves the flow with the target that the caller chose
     Given the targets of "a1" and "a2" accept after 100 ms
     When a caller calls through "b1"
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -205,6 +205,20 @@
     context.mesh.lost = is_lost
 
 
+@given('all messages of "{balancer}" are lost')
+def lose_all(context, balancer):
+    context.mesh.lost = lambda sender, _: sender == balancer
+
+
+@when('a caller opens through "{first}", and again through "{other}"')
+def call_moving(context, first, other):
+    attempt = context.mesh.call(first)
+    context.calls = [attempt]
+    context.mesh.run(0.1)
+    attempt.balancer = other
+    context.mesh.run(3)
+
+
 @given('the targets of "{one}" and "{two}" accept after {wait:d} ms')
 def accept_slowly(context, one, two, wait):
     context.mesh.accept_s = wait / 1000
--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -1,4 +1,4 @@
-"""A process of the platform whose disk and clock misbehave when told to.
+"""A process of the platform whose disk, clock and links misbehave when told.
 
 Beside its data folder lies another, with what a loss of power would leave of
 it. What misbehaves stands in a file that the soak writes. Everything happens
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 from functools import partial
 import json
 import os
 from pathlib import Path
+from random import Random
 import sys
 import time
 
@@ -21,9 +23,13 @@
 from machines import FAULTS
 from pistachiohook_core.storage.files import FileOperations
 from pistachiohook_daemon.control import disk
+from pistachiohook_daemon.datagrams import DatagramSocket
 import pistachiohook_platform.__main__
 from pistachiohook_platform.main import main
 
+#: Beginning of the hosts of machines; callers have others.
+MACHINES = '127.0.1.'
+
 #: Time between two looks at what misbehaves, in seconds.
 LOOK_INTERVAL = 0.02
 
@@ -44,7 +50,7 @@
                 self.known = json.loads(self.path.read_text())
             except FileNotFoundError:
                 self.known = {}
-        return self.known.get(name, 0)
+        return self.known.get(name, () if name == 'cut' else 0)
 
 
 @attrs.define(eq=False)
@@ -117,6 +123,22 @@
     files: FileOperations
 
 
+def send_badly(send, faults, random, socket, data, address):
+    """Send a message to another machine late, or not at all.
+
+    :param send: what sends a datagram
+    """
+    host = address.host
+    between = host.startswith(MACHINES) and host != socket.bind.host
+    if not between or not (faults.find('loss') or faults.find('cut')):
+        return send(socket, data, address)
+    if random.random() < faults.find('loss') or host in faults.find('cut'):
+        return True
+    late = faults.find('late') * random.random() ** 4
+    asyncio.get_running_loop().call_later(late, send, socket, data, address)
+    return True
+
+
 def run():
     """Run the role of the command line with faults of its machine."""
     # The entry point has prepared signals when it was imported.
@@ -126,6 +148,8 @@
     tell_time = time.time
     time.time = lambda: tell_time() + faults.find('clock')
     disk.open_data_folder = partial(open_disk, disk.open_data_folder, faults)
+    bad = partial(send_badly, DatagramSocket.send, faults, Random())
+    DatagramSocket.send = lambda *arguments: bad(*arguments)
     return main()
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -61,6 +61,8 @@
     'jump_clock',
     'reuse',
     'reuse',
+    'late_links',
+    'cut_links',
 )
 #: Faults of disks.
 DISK_KINDS = ('wipe', 'lose_power', 'slow_disk', 'full_disk', 'failing_disk')
@@ -340,6 +342,16 @@
         """Let the time of day jump, and jump back."""
         await self.misbehave(name, 3.0, clock=20 * size - 10)
 
+    async def late_links(self, name, size):
+        """Let a machine's messages to others be lost, late, out of order."""
+        await self.misbehave(name, 4.0, loss=0.01 + 0.2 * size, late=3.0)
+
+    async def cut_links(self, name, size):
+        """Let a machine's messages to some others be lost, not theirs."""
+        hosts = sorted(one.host for one in self.machines.values())
+        cut = hosts[:: 2 + int(3 * size)]
+        await self.misbehave(name, 3.0, cut=cut)
+
     async def reuse(self, name, size):
         """Give a target's address to the other service for a while."""
         machine = self.machines[name]
