--- a/packages/pistachiohook-cli/src/pistachiohook_cli/explanation.py
+++ b/packages/pistachiohook-cli/src/pistachiohook_cli/explanation.py
@@ -11,6 +11,7 @@
 import attrs
 from pistachiohook_core.events import FLOW_DECLINED
 from pistachiohook_core.events import FLOW_ENDED
+from pistachiohook_core.events import FLOW_LEFT
 from pistachiohook_core.events import FLOW_LOST
 from pistachiohook_core.events import FLOW_OFFERED
 from pistachiohook_core.events import FLOW_OPENED
@@ -170,8 +171,14 @@
     opened = last.get(FLOW_OPENED.number)
     ended = last.get(FLOW_ENDED.number)
     lost = last.get(FLOW_LOST.number)
+    left = last.get(FLOW_LEFT.number)
     if refused is not None:
         yield _explain_refusal(refused, own)
+    if left is not None:
+        yield (
+            f'{left.instance} gave it up after {left.fields.get("offers")} '
+            'offers, without a reset: its caller had gone on elsewhere'
+        )
     if lost is not None:
         yield f'{lost.instance} found no agent that holds it'
     if ended is not None:
@@ -183,7 +190,7 @@
         )
     elif opened is not None:
         yield _explain_silence(opened, about)
-    elif refused is None and FLOW_OFFERED.number in last:
+    elif not (refused or left) and FLOW_OFFERED.number in last:
         agent = last[FLOW_OFFERED.number].fields.get('agent')
         yield f'offered to {agent}, and its caller never went on'
 
--- a/tests/cli_explain/explain.feature
+++ b/tests/cli_explain/explain.feature
@@ -8,6 +8,13 @@
       | 1.02   | balancer | b1       | 2102  | f    | {"reason": "no target takes it", "offers": 1, "version": 7} |
     Then the cause of "f" is "b1 refused it with routes of version 7: no target takes it after 1 offers; declined by a1 (overloaded, 27 flows on 2 slots)"
 
+  Scenario: Given up without a reset
+    Given these lines
+      | second | role     | instance | event | flow | fields                                       |
+      | 1.00   | balancer | b1       | 2101  | f    | {"agent": "a1", "offer": 1}                  |
+      | 1.25   | balancer | b1       | 2107  | f    | {"offers": 4}                                |
+    Then the cause of "f" is "b1 gave it up after 4 offers, without a reset: its caller had gone on elsewhere"
+
   Scenario: Opened but never answered
     Given these lines
       | second | role     | instance | event | flow | fields                                |
