Take a caller's further packet as proof that its flow is open

Change: the time of the newest opening packet is kept apart from that of any packet, and any other packet means that some target has accepted. A flow that is given up so is forgotten, so that later packets search for its owner.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -116,6 +116,9 @@
     :param began_at: when the caller has begun to open it
     :param agent: who holds it or was asked to open it
     :param opening: the opening packet
+    :param opening_at: when it came last
+    :param gone_on: whether the caller has sent another packet since, as it
+        does when a target has accepted
     :param offers: how often it was offered
     :param tried: agents that do not open it or do not hold it
     :param silent: agents that have not answered an offer, nor that it was
@@ -134,6 +137,8 @@
     began_at: float = 0.0
     agent: Address | None = None
     opening: Segment | None = None
+    opening_at: float = 0.0
+    gone_on: bool = False
     offers: int = 0
     tried: set[Address] = attrs.field(factory=set)
     silent: set[Address] = attrs.field(factory=set)
@@ -320,7 +325,7 @@
             )
             entry = FlowEntry(service, EntryState.OFFERED, now, began_at)
         entry.opening = segment
-        entry.touched_at = now
+        entry.opening_at = entry.touched_at = now
         self._remember(segment.flow, entry)
         if entry.state is EntryState.TAKEN and self._is_live(entry, now):
             assert entry.agent is not None
@@ -386,16 +391,18 @@
     ) -> list[Action]:
         """Refuse a flow that no target takes.
 
-        A caller that has sent its opening packet again, and not here, may have
-        opened the flow through another balancer; a reset would break it.
+        A caller that has gone on, or has sent its opening packet again and not
+        here, may have opened the flow through another balancer; a reset would
+        break it.
         """
         assert entry.opening is not None
         repeats = min(entry.opening.acknowledged, len(SINGLE_TIMES) - 1)
-        elsewhere = now - entry.touched_at > SINGLE_TIMES[repeats]
-        entry.state = EntryState.REFUSED
-        entry.agent = entry.opening = None
-        if not elsewhere:
+        alone = now - entry.opening_at <= SINGLE_TIMES[repeats]
+        if alone and not entry.gone_on:
+            entry.state = EntryState.REFUSED
+            entry.agent = entry.opening = None
             return self._refuse(flow, 'no target takes it', entry.offers)
+        del self.flows[flow]
         self.counts['flows_left'] += 1
         fields = {'flow': describe_flow(flow), 'offers': entry.offers}
         return [Log(FLOW_LEFT, fields)]
@@ -596,6 +603,7 @@
         if entry is None or entry.state is EntryState.REFUSED:
             return self._find_owner(route, segment, frozenset(), now)
         entry.touched_at = now
+        entry.gone_on = True
         self.flows.move_to_end(segment.flow)
         if entry.state is EntryState.FINDING:
             _hold(entry, segment)
--- a/tests/core/passthrough/flows.feature
+++ b/tests/core/passthrough/flows.feature
@@ -88,6 +88,8 @@
     Given all messages of "b1" are lost
     When a caller opens through "b1", and again through "b2"
     Then the call is answered within 350 ms
+    When a caller opens through "b1", again through "b2", and goes on through "b1" for 0.15 s
+    Then the call is answered within 800 ms
 
   Scenario: A slow accept after a second offer leaves the flow with the target that the caller chose
     Given the targets of "a1" and "a2" accept after 100 ms
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -219,6 +219,23 @@
     context.mesh.run(3)
 
 
+@when(
+    'a caller opens through "{first}", again through "{other}", and goes on'
+    ' through "{last}" for {length:f} s'
+)
+def call_returning(context, first, other, last, length):
+    mesh = context.mesh
+    attempt = mesh.call(first)
+    context.calls = [attempt]
+    mesh.run(0.1)
+    attempt.balancer = other
+    mesh.run(0.101)
+    attempt.balancer = last
+    mesh.run(length)
+    attempt.balancer = other
+    mesh.run(3)
+
+
 @given('the targets of "{one}" and "{two}" accept after {wait:d} ms')
 def accept_slowly(context, one, two, wait):
     context.mesh.accept_s = wait / 1000
