--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -42,5 +42,6 @@
       | a refused call that has run          |
       | a call that was reset while open     |
       | a call answered by another service   |
+      | a packet at a target of another service |
       | an accepted version that is not shown |
       | a version shown as it was not sent   |
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -358,6 +358,8 @@
         own = machine.service
         for service in ({*'st'} - {own}).pop(), own:
             machine.kill()
+            # What the agent has sent last is read by the former target.
+            await asyncio.sleep(0.1)
             self.targets[name].flows.clear()
             self.targets[name].name = f'{service}{name}'
             self.targets[name].born += 1
--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -30,6 +30,7 @@
 class FakeTarget:
     name: str
     ran: list = attrs.field(factory=list)
+    foreign: set = attrs.field(factory=set)
 
     @property
     def served_as(self):
@@ -120,6 +121,8 @@
             call.outcome, first.ran = 'refused', [caller]
         case 'a call that was reset while open':
             call.outcome = 'broken'
+        case 'a packet at a target of another service':
+            second.foreign = {('t0', 1)}
         case 'a call answered by another service':
             call.answer = 't0'
         case 'an accepted version that is not shown':
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -59,13 +59,17 @@
 
 
 class Target(PacketTarget):
-    """A target that works for a while before it answers."""
+    """A target that works for a while before it answers.
+
+    It notes the callers of packets that are for another service.
+    """
 
     def __init__(self, name, outbound, random):
         super().__init__(name, outbound)
         self.random = random
         self.opened = []
         self.served_as = {}
+        self.foreign = set()
 
     def answer(self, entry, caller, flags, acknowledged, data=b''):
         if flags & FIN:
@@ -73,8 +77,11 @@
         super().answer(entry, caller, flags, acknowledged, data)
 
     def datagram_received(self, data, peer):
-        flags = data[16]
-        length = HEADER.unpack_from(data)[9]
+        _, port, caller, _, _, flags, _, _, _, length, _ = HEADER.unpack_from(
+            data
+        )
+        if port != ENTRIES[self.name[0]][1]:
+            self.foreign.add((self.name, caller))
         if not flags & SYN and length:
             work = self.random.expovariate(50)
             later = asyncio.get_running_loop().call_later
@@ -276,6 +283,11 @@
         for caller, name in target.served_as.items()
     }
     faults = list(operator.faults)
+    faults += [
+        f'{name} got a packet from {port} for another service'
+        for target in targets
+        for name, port in target.foreign
+    ]
     for call in calls:
         name = f'call from {call.port} to {call.service}'
         if runs[call.port] > 1:
