Let a balancer withdraw its own offer alone

Found while reading the change that withdraws offers: when a caller's next opening packet has gone to another balancer, which has offered the flow to the same agent, the withdrawal of the first one took it away from that one too; the caller then had to send again.

Change: the agent keeps a flow that another balancer has offered since. The scenario failed first (no answer within 150 ms), and passes.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -480,11 +480,13 @@
     ) -> list[Action]:
         key = withdraw.flow
         flow = self.flows.get(key)
-        if flow is not None and flow.state is FlowState.OFFERED:
-            self.declined[key] = DeclinedFlow(sender, now)
-        elif flow is not None and flow.state is not FlowState.WAITING:
+        pending = (FlowState.WAITING, FlowState.OFFERED)
+        if flow is not None and flow.state not in pending:
             return [Send(sender, Taken(key, self.describe_load(now)))]
-        if flow is not None:
+        # A flow that another balancer has offered since is that one's.
+        if flow is not None and flow.balancer == sender:
+            if flow.state is FlowState.OFFERED:
+                self.declined[key] = DeclinedFlow(sender, now)
             self._drop(key, flow)
         return self._decline(sender, key, DeclineReason.WITHDRAWN, now)
 
--- a/tests/core/passthrough/faults.feature
+++ b/tests/core/passthrough/faults.feature
@@ -42,6 +42,11 @@
       | the target's accept  | 70    |
       | a pause of the agent | 200   |
 
+  Scenario: A balancer withdraws its own offer alone
+    When a flow is offered to 1 agent through 2 balancers, and the first one withdraws it before the target accepts
+    Then the caller is answered within 150 ms
+    And no flow was broken, none has run twice, and none that was refused has run
+
   Scenario: Of two targets that accept late, the first one keeps the flow
     When 1 target of each of 2 agents is called while the target's accept takes from 30 to 200 ms
     Then no flow was broken, none has run twice, and none that was refused has run
--- a/tests/core/passthrough/steps/fault_steps.py
+++ b/tests/core/passthrough/steps/fault_steps.py
@@ -9,6 +9,8 @@
 from behave import then
 from behave import when
 from mesh import Mesh
+from pistachiohook_core.passthrough.actions import Send
+from pistachiohook_core.passthrough.messages import Withdraw
 
 #: Time that is played after the last call, in seconds.
 TAIL = 6.0
@@ -144,3 +146,32 @@
         if wait < bound and attempt.outcome != 'answered'
     ]
     assert not lost, lost
+
+
+@when(
+    'a flow is offered to 1 agent through 2 balancers, and the first one'
+    ' withdraws it before the target accepts'
+)
+def withdraw_first(context):
+    mesh = context.mesh = Mesh(accept_s=0.03)
+    for name in ('b1', 'b2'):
+        mesh.add_balancer(name, 'x')
+    mesh.add_agent('a', 'x')
+    mesh.set_routes('s')
+    mesh.run(0.5)
+    # No answer reaches the first one.
+    mesh.lost = lambda _, receiver: receiver == 'b1'
+    context.call = mesh.call('b1')
+    context.call.balancer = 'b2'
+    mesh.open(context.call, 1)
+    mesh.run(0.01)
+    mesh.send('b1', Send(mesh.address('a'), Withdraw(context.call.flow)))
+    mesh.cut.add('b1')
+    mesh.run(3)
+
+
+@then('the caller is answered within {bound:d} ms')
+def check_call(context, bound):
+    call = context.call
+    assert call.outcome == 'answered', call
+    assert (call.ended_at - call.began_at) * 1000 <= bound, call
