--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/generated.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/generated.py
@@ -58,7 +58,7 @@
         return f'{path}: of another version of Python'
     if data[length : length + SUM_LENGTH] != source_hash(body):
         return f'{path}: damaged'
-    replace_compile(partial(_find_code, marshal.loads(body)))
+    _replace_compile(partial(_find_code, marshal.loads(body)))
     return ''
 
 
@@ -69,7 +69,7 @@
     :returns: number of classes
     """
     kept: Kept = {}
-    replace_compile(partial(_keep_code, kept))
+    _replace_compile(partial(_keep_code, kept))
     for name in modules:
         import_module(name)
     body = marshal.dumps(kept)
@@ -77,14 +77,8 @@
     return len(kept)
 
 
-def replace_compile(replacement: Compile) -> None:
-    """Let attrs compile with another function than the builtin one."""
-    # attrs looks the builtin function up by this name.
-    vars(_make)['compile'] = replacement
-
-
 def _find_code(kept: Kept, script: str, name: str, mode: str) -> CodeType:
-    # Each class is made once; what is not used frees its memory.
+    # Each class is made once.
     found = kept.pop(_make_key(script, name), None)
     return compile(script, name, mode) if found is None else found
 
@@ -99,6 +93,12 @@
     return name, SALT.sub('', script)
 
 
+def _replace_compile(replacement: Compile) -> None:
+    """Let attrs compile with another function than the builtin one."""
+    # attrs looks the builtin function up by this name.
+    vars(_make)['compile'] = replacement
+
+
 if __name__ == '__main__':
     number = write_generated(Path(sys.argv[1]), sys.argv[2:])
     print(f'{sys.argv[1]}: methods of {number} classes')
