Offer a flow in one piece of code, and answer a caller in one

`_send_offer` was split off for a second caller that is gone, so that the age and budget of a flow were worked out twice for each offer; `_offer_again` and `_offer_anew` differed by one line that one caller needs; the view of a flow's agent was looked up in four places; and an agent that opens a flow late set by hand what it sets when a target accepts in time. Each is one piece now.

Behaviour is the same; no test was changed for it.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -320,16 +320,21 @@
             return self._keep_back(segment)
         if flow is None:
             flow = self._adopt(segment.flow, None, now)
+        actions = [self._answer_caller(segment, flow, now)]
+        if segment.ends or segment.resets:
+            actions += self._end(segment.flow, flow, now)
+        return actions + self._serve_waiting(now)
+
+    def _answer_caller(
+        self, segment: Segment, flow: AgentFlow, now: float
+    ) -> DeliverToCaller:
         flow.touched_at = now
         if segment.accepts and flow.state is FlowState.OFFERED:
             flow.state = FlowState.ACCEPTED
             flow.accepted_at = now
             flow.sequence = segment.sequence
         self.counts['packets_to_callers'] += 1
-        actions = [DeliverToCaller(segment.flow, segment.raw)]
-        if segment.ends or segment.resets:
-            actions += self._end(segment.flow, flow, now)
-        return actions + self._serve_waiting(now)
+        return DeliverToCaller(segment.flow, segment.raw)
 
     def expire(self, now: float) -> list[Action]:
         """Give back what the target does not answer; forget what is over."""
@@ -468,12 +473,9 @@
         self, accept: Segment, flow: AgentFlow, sender: Address, now: float
     ) -> list[Action]:
         """Open a flow that the target has accepted meanwhile."""
-        flow.state = FlowState.ACCEPTED
-        flow.accepted_at = now
-        flow.sequence = accept.sequence
-        self.counts['packets_to_callers'] += 1
+        flow.state = FlowState.OFFERED
         taken = Taken(accept.flow, self.describe_load(now))
-        return [Send(sender, taken), DeliverToCaller(accept.flow, accept.raw)]
+        return [Send(sender, taken), self._answer_caller(accept, flow, now)]
 
     def _take_withdraw(
         self, sender: Address, withdraw: Withdraw, now: float
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -338,9 +338,7 @@
         return self._offer(route, segment.flow, entry, now)
 
     def _is_live(self, entry: FlowEntry, now: float) -> bool:
-        if entry.agent is None:
-            return False
-        view = self.views.get(entry.service, {}).get(entry.agent)
+        view = self._find_view(entry, entry.agent)
         return (
             view is not None
             and not view.suspect
@@ -357,9 +355,8 @@
         """
         assert entry.opening is not None
         former = entry.agent if entry.agent in entry.silent else None
-        budget = find_budget(route, (now - entry.began_at) * 1000)
         choice = self._choose(route, entry, former, now)
-        if choice is None and budget > 0 and self._may_come(entry, now):
+        if choice is None and self._may_come(route, entry, now):
             entry.agent = None
             self._await_answer(flow, entry, now + AGENT_PAUSE)
             return []
@@ -371,18 +368,8 @@
             return [] if former is None else [Send(former, Withdraw(flow))]
         if choice is None:
             return self._end_opening(flow, entry, now)
-        entry.offers += 1
-        choice.view.add_offer(flow)
-        self.counts['offers'] += 1
-        last = entry.offers == OFFERS_MAX
-        patience = budget if last else min(budget, choice.patience_ms)
-        agent = choice.view.address
-        actions: list[Action] = [
-            Log(FLOW_OFFERED, self._describe_offer(flow, entry, choice, now)),
-            self._send_offer(route, flow, entry, agent, patience, now),
-        ]
-        if former not in (None, agent):
-            assert former is not None
+        actions = self._ask(route, flow, entry, choice, now)
+        if former is not None and former != entry.agent:
             actions.append(Send(former, Withdraw(flow)))
         return actions
 
@@ -414,15 +401,14 @@
         former: Address | None,
         now: float,
     ) -> Choice | None:
-        views = self.views.get(entry.service, {})
-        late = None if entry.late is None else views.get(entry.late)
+        late = self._find_view(entry, entry.late)
         entry.late = None
         if late is not None:
             return Choice(late, late.wait_ms, float('inf'))
         if entry.offers >= OFFERS_MAX:
             return None
         return self.choose(
-            views.values(),
+            self.views.get(entry.service, {}).values(),
             route,
             self.zone,
             entry.tried | (entry.silent - {former}),
@@ -430,40 +416,50 @@
             now,
         )
 
-    def _send_offer(
+    def _ask(
         self,
         route: Route,
         flow: bytes,
         entry: FlowEntry,
-        agent: Address,
-        patience_ms: float,
+        choice: Choice,
         now: float,
-    ) -> Send:
+    ) -> list[Action]:
+        """Offer a flow to an agent, and wait for its answer."""
         assert entry.opening is not None
+        agent = choice.view.address
+        entry.offers += 1
         entry.excused = entry.ending = False
         entry.state = EntryState.OFFERED
         entry.agent = agent
         entry.silent.discard(agent)
+        choice.view.add_offer(flow)
+        self.counts['offers'] += 1
         self._await_answer(flow, entry, now + OFFER_TIMEOUT)
         age_ms = (now - entry.began_at) * 1000
+        budget = find_budget(route, age_ms)
+        last = entry.offers == OFFERS_MAX
         offer = Offer(
             entry.service,
-            patience_ms,
-            find_budget(route, age_ms),
+            budget if last else min(budget, choice.patience_ms),
+            budget,
             route.target_latency_ms - age_ms,
             route.priority,
             entry.opening.raw,
         )
-        return Send(agent, offer)
+        return [
+            Log(FLOW_OFFERED, self._describe_offer(flow, entry, choice, now)),
+            Send(agent, offer),
+        ]
 
-    def _may_come(self, entry: FlowEntry, now: float) -> bool:
+    def _may_come(self, route: Route, entry: FlowEntry, now: float) -> bool:
         """Tell whether an agent may soon be heard that takes a flow.
 
         Answers the first moments after a restart, of this balancer, of agents
         or of the ways to them: a caller refused then has no try left when
         targets are back.
         """
-        if entry.offers:
+        age_ms = (now - entry.began_at) * 1000
+        if entry.offers or find_budget(route, age_ms) <= 0:
             return False
         if now - self.started_at < AGENT_TIMEOUT:
             return True
@@ -498,22 +494,15 @@
     ) -> list[Action]:
         if entry.agent is not None:
             self.counts['offers_unanswered'] += 1
-            view = self.views.get(entry.service, {}).get(entry.agent)
+            view = self._find_view(entry, entry.agent)
             if view is not None:
                 view.settle_offer(flow)
                 view.suspect = True
             entry.silent.add(entry.agent)
-        return self._offer_anew(flow, entry, now)
+        return self._offer_again(flow, entry, now)
 
     def _offer_again(
         self, flow: bytes, entry: FlowEntry, now: float
-    ) -> list[Action]:
-        if entry.agent is not None:
-            entry.tried.add(entry.agent)
-        return self._offer_anew(flow, entry, now)
-
-    def _offer_anew(
-        self, flow: bytes, entry: FlowEntry, now: float
     ) -> list[Action]:
         route = self.table.find(flow) if self.table else None
         if route is None:
@@ -541,17 +530,16 @@
         entry.late = sender
         if not entry.ending:
             return []
-        return self._offer_anew(message.flow, entry, now)
+        return self._offer_again(message.flow, entry, now)
 
     def _turn_to(
         self, flow: bytes, entry: FlowEntry, agent: Address
     ) -> list[Action]:
         """Let an agent have a flow; withdraw it from another one."""
         former, entry.agent = entry.agent, agent
-        if former in (None, agent):
+        if former is None or former == agent:
             return []
-        assert former is not None
-        view = self.views.get(entry.service, {}).get(former)
+        view = self._find_view(entry, former)
         if view is not None:
             view.settle_offer(flow)
         return [Send(former, Withdraw(flow))]
@@ -570,8 +558,11 @@
             return []
         if entry.state is EntryState.FINDING:
             return []
-        if message.reason is DeclineReason.BUSY:
-            entry.agent = None
+        if (
+            entry.agent is not None
+            and message.reason is not DeclineReason.BUSY
+        ):
+            entry.tried.add(entry.agent)
         return self._offer_again(message.flow, entry, now)
 
     def _note_load(
@@ -591,6 +582,13 @@
         if restarted or load.sequence >= view.load.sequence:
             view.take_load(load)
 
+    def _find_view(
+        self, entry: FlowEntry, agent: Address | None
+    ) -> AgentView | None:
+        """Return what is known of an agent of a flow's service."""
+        views = self.views.get(entry.service, {})
+        return None if agent is None else views.get(agent)
+
     def _drop_view(self, address: Address) -> None:
         former = self._services.pop(address, None)
         if former is not None:
