Find free ports in one place in the tests

The tests of processes and the soak looked for a range of free ports, and for a single one, each with code of their own. Both use that of the loopback now, the stricter of the two: free on all of loopback. The two steps that play a seed share their bounds. All assertions are as they were.

--- a/tests/platform/loopback.py
+++ b/tests/platform/loopback.py
@@ -45,6 +45,27 @@
         return Address(*one.getsockname())
 
 
+def find_range(size):
+    """Return the first of as many ports that are free on all of loopback."""
+    while True:
+        first = find_address().port
+        if first + size < 65536 and all(
+            is_free(port, kind)
+            for port in range(first, first + size)
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+        ):
+            return first
+
+
+def is_free(port, kind):
+    with socket.socket(socket.AF_INET, kind) as one:
+        try:
+            one.bind(('0.0.0.0', port))
+        except OSError:
+            return False
+    return True
+
+
 def number(host):
     return int.from_bytes(socket.inet_aton(host), 'big')
 
--- a/tests/platform/steps/process_steps.py
+++ b/tests/platform/steps/process_steps.py
@@ -15,6 +15,8 @@
 from behave import given
 from behave import then
 from behave import when
+from loopback import find_address
+from loopback import find_range
 
 #: Longest wait for the end of a process, in seconds.
 PATIENCE = 30.0
@@ -22,26 +24,6 @@
 HOST = '127.0.0.1'
 
 
-def find_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as one:
-        one.bind((HOST, 0))
-        return one.getsockname()[1]
-
-
-def find_range(size):
-    """Return the first of as many ports that are free for TCP and UDP."""
-    while True:
-        first = find_port()
-        try:
-            for port in range(first, first + size):
-                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                    with socket.socket(socket.AF_INET, kind) as one:
-                        one.bind((HOST, port))
-        except OSError:
-            continue
-        return first
-
-
 @given('the settings file of a {role} on loopback')
 def write_settings(context, role):
     context.folder = Path(tempfile.mkdtemp())
@@ -54,10 +36,10 @@
         'Ip': HOST,
         'Zone': 'x',
         'Listen': {
-            'DatagramAddr': f'{HOST}:{find_port(udp)}',
-            'ReadinessAddr': f'{HOST}:{find_port()}',
-            'Control': f'{HOST}:{find_port()}',
-            'outbound': f'{HOST}:{find_port(udp)}',
+            'DatagramAddr': str(find_address(udp)),
+            'ReadinessAddr': str(find_address()),
+            'Control': str(find_address()),
+            'outbound': str(find_address(udp)),
         },
         'InternalPorts': [first, first + 15],
         'Seeds': [f'{HOST}:8166'],
@@ -65,7 +47,7 @@
         'DataDir': str(context.folder / 'data'),
         'Bounds': {'GraceS': 2},
         'Service': 's',
-        'app': f'{HOST}:{find_port(udp)}',
+        'app': str(find_address(udp)),
     }
     write(context)
 
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 
@@ -190,26 +189,3 @@
         """Let processes end by themselves, as their disk fails, or not."""
         for process in self.processes.values():
             process.excused = excused
-
-
-def find_ports():
-    """Return the first of as many ports that are free on all of loopback."""
-    while True:
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as one:
-            one.bind(('127.0.0.1', 0))
-            first = one.getsockname()[1]
-        if first + PORTS < 65536 and all(
-            _is_free(port, kind)
-            for port in range(first, first + PORTS)
-            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)
-        ):
-            return first
-
-
-def _is_free(port, kind):
-    with socket.socket(socket.AF_INET, kind) as one:
-        try:
-            one.bind(('0.0.0.0', port))
-        except OSError:
-            return False
-    return True
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,8 +13,9 @@
 import time
 
 import attrs
-from machines import find_ports
+from loopback import find_range
 from machines import Machine
+from machines import PORTS
 from pistachiohook_core.addresses import Address
 from traffic import BEAT
 from traffic import Bounds
@@ -154,7 +155,7 @@
         self.machines[name].start()
 
     async def start(self):
-        self.first = find_ports()
+        self.first = find_range(PORTS)
         loop = asyncio.get_running_loop()
         for number in range(CONTROLS):
             self.add(f'c{number}', number + 1, ('control', 'balancer'))
--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -39,20 +39,19 @@
 
 @when('seed {seed:d} is played with faults for {length:d} seconds')
 def play(context, seed, length):
-    # A busy machine gives the same verdict; the bounds are for runs by hand.
-    bounds = Bounds(soak.PATIENCE, soak.PATIENCE, soak.PATIENCE)
-    play_kinds(context, seed, length, bounds, soak.KINDS)
+    play_kinds(context, seed, length, soak.KINDS)
 
 
 @when(
     'seed {seed:d} is played with faults of all kinds for {length:d} seconds'
 )
 def play_all(context, seed, length):
-    bounds = Bounds(soak.PATIENCE, soak.PATIENCE, soak.PATIENCE)
-    play_kinds(context, seed, length, bounds, soak.ALL_KINDS)
+    play_kinds(context, seed, length, soak.ALL_KINDS)
 
 
-def play_kinds(context, seed, length, bounds, kinds):
+def play_kinds(context, seed, length, kinds):
+    # A busy machine gives the same verdict; the bounds are for runs by hand.
+    bounds = Bounds(soak.PATIENCE, soak.PATIENCE, soak.PATIENCE)
     found = soak.play(seed, float(length), bounds, kinds)
     context.faults, context.journal, context.outcomes = found
 
