Count requests in progress instead of open flows

Cause: an agent counted each open flow as a busy slot until the flow closed. Callers that keep flows open for many requests fill a target with one slot after two flows, though it works a small share of the time; all later flows are declined as overloaded.

Change: the agent reads from the headers alone whether a request is unanswered on a flow. Load, wait, admission, service time and the end of a drain follow from requests; open flows without a request enter placing through the duty cycle that is learnt for their route, since they can't be moved. A flow of one request is the same case with a duty cycle near 1.

Conclusion: what occupies a slot is a request.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -16,6 +16,10 @@
 from .actions import DeliverToTarget
 from .actions import Log
 from .actions import Send
+from .activity import DutyCycles
+from .activity import FlowActivity
+from .activity import REQUEST_TIMEOUT
+from .activity import SEQUENCE_RANGE
 from .messages import DeclineReason
 from .messages import FindOwner
 from .messages import ForwardedPacket
@@ -90,12 +94,10 @@
 #: Weight of a new measurement in an exponential moving average.
 MEAN_WEIGHT = 0.1
 
-#: Mean service time of a flow before the first measurement, in milliseconds.
+#: Mean service time of a request before the first measurement, in
+#: milliseconds.
 INITIAL_SERVICE_MS = 50.0
 
-#: Number of distinct sequence numbers; they wrap around.
-SEQUENCE_RANGE = 1 << 32
-
 
 class AgentFlowState(enum.Enum):
     """State of a flow at an agent."""
@@ -123,10 +125,12 @@
     :param touched_at: when its last packet passed, in either direction
     :param accepted_at: when the target accepted it
     :param sequence: initial sequence number of the target
-    :param served_at: when the caller's first data arrived
     :param opening: its opening packet while it waits
-    :param counted: whether it counts as in progress
-    :param shared_by: flows for each slot when its request arrived, at least 1
+    :param counted: whether it counts as in progress: it is being opened, or
+        its request is unanswered
+    :param expected: share of a slot that its later requests are expected to
+        occupy, while it is open and does not count as in progress
+    :param activity: progress of its requests
     """
 
     state: AgentFlowState
@@ -135,10 +139,10 @@
     touched_at: float
     accepted_at: float = 0.0
     sequence: int = 0
-    served_at: float | None = None
     opening: bytes = b''
     counted: bool = True
-    shared_by: float = 1.0
+    expected: float = 0.0
+    activity: FlowActivity = attrs.field(factory=FlowActivity)
 
 
 @attrs.define
@@ -195,7 +199,10 @@
         told before a balancer offers it again
     :param stopping: whether the agent is shutting down
     :param counts: counters of packets and decisions by name
-    :param service_ms: mean time for which a flow occupies a slot
+    :param service_ms: mean time for which a request occupies a slot
+    :param expected: mean number of requests that the open flows which do not
+        count as in progress are expected to have in progress
+    :param duty_cycles: duty cycles of the flows by route
     :param handshake_time: mean time from a target's acceptance to the caller's
         next packet, in seconds
     :param idle_timeout: time after which an idle flow is removed, in seconds
@@ -217,6 +224,8 @@
     stopping: bool = False
     counts: Counter[str] = attrs.field(factory=Counter)
     service_ms: float = INITIAL_SERVICE_MS
+    expected: float = 0.0
+    duty_cycles: DutyCycles = attrs.field(factory=DutyCycles)
     handshake_time: float = INITIAL_HANDSHAKE_TIME
     _sequence: int = 0
     _announced_at: float = float('-inf')
@@ -238,6 +247,7 @@
             self.in_progress,
             round(self.service_ms, 1),
             int(cold * 1000),
+            round(max(0.0, self.expected), 3),
         )
 
     def find_state(self, now: float) -> TargetState:
@@ -333,6 +343,7 @@
         if flow is None:
             flow = self._adopt(segment.flow, None, now)
         actions = [self._forward_to_caller(segment, flow, now)]
+        actions += self._record_answer(segment, flow, now)
         if segment.ends or segment.resets:
             actions += self._end(segment.flow, flow, now)
         return actions + self._deliver_waiting(now)
@@ -348,6 +359,36 @@
         self.counts['packets_to_callers'] += 1
         return DeliverToCaller(segment.flow, segment.raw)
 
+    def _record_answer(
+        self, segment: Segment, flow: AgentFlow, now: float
+    ) -> list[Action]:
+        """Free the slot of a request whose answer begins."""
+        elapsed = flow.activity.record_target_data(segment, now)
+        if elapsed is None:
+            return []
+        self.duty_cycles.record_busy(segment.flow, elapsed)
+        alone_ms = elapsed * 1000 / flow.activity.shared_by
+        self.service_ms += (alone_ms - self.service_ms) * MEAN_WEIGHT
+        if flow.state is AgentFlowState.ENDED:
+            return []
+        self._become_idle(segment.flow, flow)
+        return self._report_free_slot(flow, now)
+
+    def _record_request(
+        self, segment: Segment, flow: AgentFlow, now: float
+    ) -> None:
+        """Occupy a slot for a request that begins."""
+        activity = flow.activity
+        if not activity.record_caller_data(segment, now):
+            return
+        if activity.idle_since is not None:
+            pause = now - activity.idle_since
+            self.duty_cycles.record_idle(segment.flow, pause)
+        self._set_counted(flow, True)
+        slots = max(1, self.target.slots if self.target else 1)
+        delivered = self.in_progress - len(self.waiting)
+        activity.shared_by = max(1.0, delivered / slots)
+
     def expire(self, now: float) -> list[Action]:
         """Decline flows that have timed out and remove those that are over."""
         actions: list[Action] = []
@@ -367,19 +408,40 @@
             return self._decline_expired(key, flow, now)
         if flow.state is AgentFlowState.DELIVERED and age > ACCEPT_TIMEOUT:
             return self._time_out_accept(key, flow, now)
-        abandoned_after = self.handshake_time * HANDSHAKE_MULTIPLE
-        if flow.state is AgentFlowState.ACCEPTED and age > abandoned_after:
-            self._set_counted(flow, False)
+        if flow.counted and self._is_abandoned(flow, age):
+            flow.activity.abandon_request()
+            self._become_idle(key, flow)
         if age > self._find_lifetime(flow):
             self._drop(key, flow)
         return []
 
+    def _is_abandoned(self, flow: AgentFlow, age: float) -> bool:
+        """Tell whether a flow in progress no longer occupies a slot.
+
+        Its caller has not completed the handshake, has sent no request after
+        it, or has left without closing the flow.
+        """
+        if flow.activity.busy_since is not None:
+            return age > REQUEST_TIMEOUT
+        pending = (AgentFlowState.ACCEPTED, AgentFlowState.OPEN)
+        abandoned_after = self.handshake_time * HANDSHAKE_MULTIPLE
+        return flow.state in pending and age > abandoned_after
+
     def _set_counted(self, flow: AgentFlow, counted: bool) -> None:
         """Set whether a flow counts as in progress."""
+        self.expected -= flow.expected
+        flow.expected = 0.0
         if flow.counted != counted:
             flow.counted = counted
             self.in_progress += 1 if counted else -1
 
+    def _become_idle(self, key: bytes, flow: AgentFlow) -> None:
+        """Count the later requests of an open flow instead of the flow."""
+        self._set_counted(flow, False)
+        if flow.state is AgentFlowState.OPEN:
+            flow.expected = self.duty_cycles.find_duty(key)
+            self.expected += flow.expected
+
     def _deliver_waiting(self, now: float) -> list[Action]:
         """Deliver waiting flows while the target has capacity.
 
@@ -440,6 +502,7 @@
         self.waiting.clear()
         self.declined.clear()
         self.in_progress = 0
+        self.expected = 0.0
         self._unanswered_offers = 0
         self._down_until = float('-inf')
 
@@ -631,11 +694,8 @@
                 'flows': self.in_progress,
             }
             actions.append(Log(FLOW_OPENED, fields))
-        if segment.length and flow.served_at is None:
-            flow.served_at = now
-            slots = max(1, self.target.slots if self.target else 1)
-            delivered = self.in_progress - len(self.waiting)
-            flow.shared_by = max(1.0, delivered / slots)
+        if flow.state is AgentFlowState.OPEN:
+            self._record_request(segment, flow, now)
         if segment.ends or segment.resets:
             actions += self._end(segment.flow, flow, now)
         return actions
@@ -667,9 +727,11 @@
         self, key: bytes, balancer: Address | None, now: float
     ) -> AgentFlow:
         """Add a flow that the target may have opened before this start."""
-        flow = AgentFlow(AgentFlowState.OPEN, balancer, now, now)
+        flow = AgentFlow(
+            AgentFlowState.OPEN, balancer, now, now, counted=False
+        )
         self.flows[key] = flow
-        self.in_progress += 1
+        self._become_idle(key, flow)
         self.counts['flows_adopted'] += 1
         return flow
 
@@ -705,24 +767,25 @@
     def _end(self, key: bytes, flow: AgentFlow, now: float) -> list[Action]:
         if flow.state is AgentFlowState.ENDED:
             return []
+        occupied = flow.counted
         self._set_counted(flow, False)
         flow.state = AgentFlowState.ENDED
-        elapsed_ms = 0.0
-        if flow.served_at is not None:
-            elapsed_ms = (now - flow.served_at) * 1000
-            alone_ms = elapsed_ms / flow.shared_by
-            weight = MEAN_WEIGHT
-            self.service_ms += (alone_ms - self.service_ms) * weight
+        activity = flow.activity
+        if activity.busy_since is None and activity.idle_since is not None:
+            self.duty_cycles.record_idle(key, now - activity.idle_since)
         fields = {
             'flow': describe_flow(key),
-            'served_ms': round(elapsed_ms, 1),
+            'requests': activity.requests,
+            'served_ms': round(activity.busy * 1000, 1),
+            'unanswered': activity.busy_since is not None,
             'age_ms': round((now - flow.began_at) * 1000, 1),
             'flows': self.in_progress,
         }
-        return [Log(FLOW_ENDED, fields), *self._report_free_slot(flow, now)]
+        log = Log(FLOW_ENDED, fields)
+        return [log, *(self._report_free_slot(flow, now) if occupied else ())]
 
     def _report_free_slot(self, flow: AgentFlow, now: float) -> list[Action]:
-        """Report the load to the balancer of a flow that has ended.
+        """Report the load to the balancer of a flow that has freed a slot.
 
         At a load peak, a free slot is filled sooner than the next regular
         report is due. Without this report, balancers would overload one target
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -52,10 +52,14 @@
     :param zone: availability zone of the agent
     :param state: state of the target
     :param slots: requests that the target runs concurrently
-    :param flows: flows in progress, including those that wait for a slot
-    :param service_ms: mean time for which a flow occupies a slot
+    :param flows: flows in progress, including those that wait for a slot: a
+        flow is in progress while it is being opened and while a request of it
+        is unanswered
+    :param service_ms: mean time for which a request occupies a slot
     :param cold_ms: remaining time for which the target is slow after its
         start
+    :param expected: mean number of requests that the other open flows are
+        expected to have in progress
     """
 
     sequence: int
@@ -67,6 +71,7 @@
     flows: int
     service_ms: float
     cold_ms: int = 0
+    expected: float = 0.0
 
 
 @attrs.frozen
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
@@ -56,6 +56,10 @@
 #: handshake.
 WAIT_MAX_MS = 1200.0
 
+#: Load of each slot by open flows from which the expected wait of their
+#: requests is no longer increased. A queue has no finite wait at 1.
+RECURRING_LOAD_MAX = 0.95
+
 #: Share of a route's timeout that a flow may wait for a slot; the rest is for
 #: the answer. A refused caller retries at once and only a few times, so a long
 #: wait is better for it than a refusal.
@@ -76,8 +80,10 @@
         change them with :meth:`add_offer` and :meth:`remove_offer`
     :param suspect: whether an offer to it has timed out since its last message
     :param wait_ms: expected wait of one more flow for a slot
-    :param utilization: flows in progress for each slot, above 1 when flows
-        wait
+    :param cost_ms: the same, and the mean wait that later requests of the
+        target's open flows cause each other
+    :param utilization: flows in progress and expected requests for each slot,
+        above 1 when flows wait
     """
 
     address: Address
@@ -86,6 +92,7 @@
     offered: set[bytes] = attrs.field(factory=set)
     suspect: bool = False
     wait_ms: float = attrs.field(init=False)
+    cost_ms: float = attrs.field(init=False)
     utilization: float = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -109,8 +116,10 @@
 
     def _estimate(self) -> None:
         flows = self.load.flows + len(self.offered)
-        self.wait_ms = estimate_wait(self.load, flows)
-        self.utilization = flows / max(1, self.load.slots)
+        load = self.load
+        self.wait_ms = estimate_wait(load, flows)
+        self.cost_ms = self.wait_ms + estimate_recurring_wait(load)
+        self.utilization = (flows + load.expected) / max(1, load.slots)
 
 
 #: Rank that is worse than that of every agent.
@@ -143,6 +152,20 @@
     return ahead / slots * load.service_ms * slowdown
 
 
+def estimate_recurring_wait(load: Load) -> float:
+    """Return the mean wait of requests of flows that stay open.
+
+    Open flows can't be moved, so that a new one should go where they leave
+    room, even if all slots are free at the moment. The wait is that of a queue
+    with random arrivals, ``service * load / (1 - load)``.
+
+    :param load: load report of the agent
+    :returns: the wait, in milliseconds
+    """
+    share = min(RECURRING_LOAD_MAX, load.expected / max(1, load.slots))
+    return load.service_ms * share / (1 - share)
+
+
 def find_wait_budget(route: Route, age_ms: float) -> float:
     """Return how long a new flow may wait for a slot, in milliseconds.
 
@@ -162,9 +185,10 @@
 ) -> Choice | None:
     """Return the agent that a new flow should be offered to.
 
-    The agent with the shortest expected wait is chosen. A target in another
-    zone is charged an additional wait, so that it gets flows only when a load
-    peak fills the own zone. Between equal waits, the lower utilization
+    The agent with the shortest expected wait is chosen, both of the flow
+    itself and of the later requests of flows that stay open. A target in
+    another zone is charged an additional wait, so that it gets flows only when
+    a load peak fills the own zone. Between equal waits, the lower utilization
     decides. An agent that has not answered an offer comes last rather than
     being excluded, since the message may have been lost.
 
@@ -185,7 +209,7 @@
         if view.address in tried or not _is_eligible(view, zone, now):
             continue
         penalty = 0.0 if view.load.zone == zone else penalty_ms
-        cost = view.wait_ms + penalty
+        cost = view.cost_ms + penalty
         rank = (view.suspect, cost, view.utilization, random.random())
         if rank < best_rank:
             best, best_rank, second_rank = view, rank, best_rank
--- a/tests/core/passthrough/mesh.py
+++ b/tests/core/passthrough/mesh.py
@@ -313,7 +313,7 @@
             self.send_from_target(name, returned + packet[13:])
             return
         if segment.length:
-            self.enqueue(name, target, segment.flow)
+            self.enqueue(name, target, segment)
 
     def accept(self, name, target, segment):
         if segment.flow not in target.flows:
@@ -322,7 +322,8 @@
         number = target.flows[segment.flow]
         self.send_from_target(name, encode(segment.flow, ACCEPTS, number))
 
-    def enqueue(self, name, target, flow):
+    def enqueue(self, name, target, segment):
+        flow = segment.flow
         if target.runs[flow] or flow in target.queue:
             return
         if len(target.queue) >= target.queue_max:
