Pause a replica while its disk is full instead of ending it

Once each voter's disk had been full for some seconds, one after another, no replica was left and every change was refused for as long as the processes ran; on the users' platform only the restart of the processes brought them back.

Change: when a write finds no room, the replica pauses: nothing that depends on the write leaves it, pending requests end with an unknown outcome, later ones are refused at once, and it counts as no leader. It writes its complete state to a new file every 0.2 s until that is durable and goes on. Logged once (4006, 4007). A start with a full disk waits too. Any other failure of a write or sync still stops the replica.

--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
@@ -203,6 +203,18 @@
         """Newest membership in the log, committed or not."""
         return self.log.find_membership(self.log.last_index)[1]
 
+    @property
+    def saved_state(self) -> SavedState:
+        """State that a journal has to hold for a restart to resume here."""
+        return SavedState(
+            self.identity,
+            self.cluster,
+            self.hard_state,
+            self.log.snapshot,
+            tuple(self.log.entries),
+            self.commit,
+        )
+
     @property
     def is_voter(self) -> bool:
         """Whether this replica counts towards a quorum."""
--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -152,6 +152,16 @@
     'The identity of this data folder was replaced; it cannot join again.',
     'Move the data folder away and restart the process.',
 )
+JOURNAL_BLOCKED = Event(
+    4006,
+    Level.ERROR,
+    'The disk of the journal is full; the replica pauses until it has room.',
+    'Free space; the replica goes on by itself. Until then this instance '
+    'accepts no change and answers no read.',
+)
+JOURNAL_RESUMED = Event(
+    4007, Level.WARNING, 'The disk of the journal has room again.'
+)
 CONTROL_CHANGE_ACCEPTED = Event(
     4051, Level.INFO, 'A change of the configuration was accepted.'
 )
--- a/packages/pistachiohook-core/src/pistachiohook_core/storage/journal.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/storage/journal.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import errno
 from typing import TYPE_CHECKING
 
 import attrs
@@ -33,6 +34,9 @@
 #: Name of the journal's file.
 JOURNAL = 'journal'
 
+#: Errors of a file operation that tell that the disk has no room.
+FULL_DISK_ERRORS = frozenset((errno.ENOSPC, errno.EDQUOT))
+
 #: Name of the file to which a new journal is written before it is renamed.
 NEW_JOURNAL = 'journal.new'
 
@@ -80,11 +84,13 @@
     :param files: operations on the files of the data folder
     :param length: length of the journal's file, in bytes
     :param failure: the first failure; ``None`` while there was none
+    :param is_full: whether that failure was that the disk had no room
     """
 
     files: FileOperations
     length: int = 0
     failure: Failure | None = None
+    is_full: bool = False
 
     def append(self, update: UpdateRecord) -> Result[None, Failure]:
         """Append one record and sync it."""
@@ -125,6 +131,7 @@
                 step()
             except OSError as error:
                 self.failure = Failure(name, JOURNAL, str(error))
+                self.is_full = error.errno in FULL_DISK_ERRORS
                 return Failed(self.failure)
         self.length = length
         return Success(None)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
@@ -32,8 +32,10 @@
 from pistachiohook_core.consensus.replica import create_replica
 from pistachiohook_core.consensus.replica import Role
 from pistachiohook_core.consensus.replica import Timing
+from pistachiohook_core.events import JOURNAL_BLOCKED
 from pistachiohook_core.events import JOURNAL_CREATED
 from pistachiohook_core.events import JOURNAL_FAILED
+from pistachiohook_core.events import JOURNAL_RESUMED
 from pistachiohook_core.events import LEADER_CHANGED
 from pistachiohook_core.events import REPLICA_RETIRED
 from pistachiohook_core.events import REPLICA_STARTED
@@ -78,6 +80,11 @@
 #: bytes.
 SNAPSHOT_BYTES = 16 * 1024 * 1024
 
+#: Time between two attempts to write the journal to a full disk, in seconds:
+#: a fraction of an election, so that a voter is missing for little longer than
+#: its disk is full.
+FULL_DISK_RETRY_INTERVAL = 0.2
+
 #: Reason of a failure: this instance is not the leader, so the command was not
 #: accepted and never will be. The failure's peer is the address of the leader,
 #: or empty when it is not known.
@@ -154,6 +161,7 @@
     _journal: Journal | None = None
     _snapshot_index: int = 0
     _snapshot_length: int = 0
+    _blocked: bool = False
     _ticked_at: float = float('-inf')
     _reported_leader: str = ''
     _last_request: int = 0
@@ -168,14 +176,14 @@
     @property
     def is_leader(self) -> bool:
         """Whether this instance considers itself the leader."""
-        if self._replica is None or self.failure is not None:
+        if self._replica is None or not self._runs:
             return False
         return self._replica.role is Role.LEADER
 
     @property
     def leader(self) -> str:
         """Name of the leader; empty when it is not known."""
-        if self._replica is None or self.failure is not None:
+        if self._replica is None or not self._runs:
             return ''
         return parse_instance_name(self._replica.leader)
 
@@ -187,10 +195,15 @@
         :param now: present time of the clock, in seconds
         :returns: infinity unless the replica runs
         """
-        if self._replica is None or self.failure is not None:
+        if self._replica is None or not self._runs:
             return float('inf')
         return measure_freshness(self._replica, now)
 
+    @property
+    def _runs(self) -> bool:
+        """Whether the replica has not stopped and its disk is not full."""
+        return self.failure is None and not self._blocked
+
     def receive(self, message: Message) -> None:
         """Queue another instance's message; drop it if the queue is full."""
         with suppress(asyncio.QueueFull):
@@ -222,8 +235,8 @@
     async def run(self) -> None:
         """Load the journal and run the replica until cancelled.
 
-        Once this has ended for any reason, the replica must not be used
-        again, since some of its actions may not have been performed. A
+        While the disk is full, the replica is paused. Once this has ended for
+        any reason, the replica must not be used again, since some of its actions may not have been performed. A
         restarted process loads the journal again.
 
         :raises ReplicaStoppedError: when a file operation fails or the
@@ -242,18 +255,17 @@
             self._stop()
 
     async def _start(self) -> None:
-        journal = Journal(self.files)
-        saved = self._unwrap_or_stop(
-            await _run_in_thread(load_journal, journal)
-        )
+        saved = await self._load()
         if saved is None:
             saved = SavedState(make_identity(self.name, self.folder_id))
             self.report(JOURNAL_CREATED, identity=saved.identity)
         # An earlier process may have failed to sync what was just read.
         # Writing the journal anew makes it durable.
-        self._unwrap_or_stop(await _run_in_thread(journal.replace, saved))
-        self._journal = journal
-        self._snapshot_length = journal.length
+        journal = self._journal = Journal(self.files)
+        await self._finish_write(
+            await _run_in_thread(journal.replace, saved), saved
+        )
+        self._snapshot_length = self._journal.length
         self._restore(saved.snapshot)
         self._replica = create_replica(
             saved,
@@ -267,10 +279,21 @@
             REPLICA_STARTED, identity=saved.identity, index=self.applied
         )
 
+    async def _load(self) -> SavedState | None:
+        """Read the journal; wait for the room to cut off a torn record."""
+        while True:
+            journal = Journal(self.files)
+            result = await _run_in_thread(load_journal, journal)
+            if not journal.is_full:
+                saved: SavedState | None = self._unwrap_or_stop(result)
+                return saved
+            self._report_blocked(result.failure())
+            await asyncio.sleep(FULL_DISK_RETRY_INTERVAL)
+
     async def _submit(
         self, step: str, event: Event, timeout_reason: str
     ) -> Result[Any, Failure]:
-        if self.failure is not None:
+        if not self._runs:
             return Failed(Failure(step, JOURNAL, REFUSED))
         request = self._last_request
         future = asyncio.get_running_loop().create_future()
@@ -340,8 +363,49 @@
         assert self._replica is not None
         assert self._journal is not None
         identity = self._replica.identity
-        self._unwrap_or_stop(
-            await _run_in_thread(save, self._journal, identity, action)
+        result = await _run_in_thread(save, self._journal, identity, action)
+        await self._finish_write(result, self._replica.saved_state)
+
+    async def _finish_write(
+        self, result: Result[Any, Failure], saved: SavedState
+    ) -> None:
+        """Wait until what was written is durable, or stop at a failure.
+
+        A disk that is full gets the complete state, in a new file, once it
+        has room: what the failed write has left in the old file is unknown.
+        For the others the replica is paused meanwhile, and nothing that
+        depends on the write has left it.
+
+        :param result: result of the write
+        :param saved: state that the journal has to hold afterwards
+        """
+        assert self._journal is not None
+        began = self.clock()
+        while self._journal.is_full:
+            self._report_blocked(result.failure())
+            await asyncio.sleep(FULL_DISK_RETRY_INTERVAL)
+            self._journal = Journal(self._journal.files)
+            result = await _run_in_thread(self._journal.replace, saved)
+        self._unwrap_or_stop(result)
+        if self._blocked:
+            self._blocked = False
+            self.report(
+                JOURNAL_RESUMED,
+                seconds=round(self.clock() - began, 2),
+                index=self.applied,
+            )
+
+    def _report_blocked(self, failure: Failure) -> None:
+        """Refuse requests while the disk is full; log its begin."""
+        if self._blocked:
+            return
+        self._blocked = True
+        self._fail_pending()
+        self.report(
+            JOURNAL_BLOCKED,
+            step=failure.step,
+            peer=failure.peer,
+            reason=failure.reason,
         )
 
     def _unwrap_or_stop(self, result: Result[Any, Failure]) -> Any:
@@ -361,6 +425,10 @@
         """Fail all pending requests and refuse later ones."""
         if self.failure is None:
             self.failure = Failure('run', self.name, 'the replica has stopped')
+        self._fail_pending()
+
+    def _fail_pending(self) -> None:
+        """End all pending requests; their commands may still be accepted."""
         for request in tuple(self._pending):
             failure = Failure('propose', self.name, UNKNOWN_OUTCOME)
             self._resolve(request, Failed(failure))
@@ -409,6 +477,7 @@
         self._snapshot_index = self.applied
         state = self.state_machine.take_snapshot()
         await self._handle(Compact(self.applied, state))
+        assert self._journal is not None
         self._snapshot_length = self._journal.length
 
     def _is_snapshot_due(self) -> bool:
