--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
@@ -236,8 +236,9 @@
         """Load the journal and run the replica until cancelled.
 
         While the disk is full, the replica is paused. Once this has ended for
-        any reason, the replica must not be used again, since some of its actions may not have been performed. A
-        restarted process loads the journal again.
+        any reason, the replica must not be used again, since some of its
+        actions may not have been performed. A restarted process loads the
+        journal again.
 
         :raises ReplicaStoppedError: when a file operation fails or the
             journal is damaged; and immediately when the replica has stopped
--- a/tests/daemon/replicator/steps/full_disk_steps.py
+++ b/tests/daemon/replicator/steps/full_disk_steps.py
@@ -48,9 +48,7 @@
     assert result.failure().reason == UNKNOWN_OUTCOME, result
 
 
-@then(
-    'it refuses further commands and reads at once, and counts as no leader'
-)
+@then('it refuses further commands and reads at once, and counts as no leader')
 def check_refused(context):
     replicator = context.running[context.filled].replicator
     assert not replicator.is_leader
@@ -68,9 +66,7 @@
 def check_reports(context):
     def resumed():
         return {
-            name
-            for name, event in context.events
-            if event is JOURNAL_RESUMED
+            name for name, event in context.events if event is JOURNAL_RESUMED
         }
 
     blocked = [
@@ -191,4 +187,3 @@
         await asyncio.sleep(0.3)
 
     call(context, start_again())
-
