Let background reads wait for the next heartbeat

Cause: each member of the control cluster asks the leader every second how recent its state is, and the leader began a heartbeat round to all members for each of these questions.

Change: a read for nobody in particular is answered by the next heartbeat round; reads of callers still begin one at once.

--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/reading.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/reading.py
@@ -139,9 +139,18 @@
 def _queue_read(
     replica: Replica, request: int, requester: str, now: float
 ) -> None:
-    """Queue a read until a quorum acknowledges a round that begins now."""
-    begin_heartbeat_round(replica, now)
-    pending = PendingRead(request, requester, replica.heartbeat_round)
+    """Queue a read until a quorum acknowledges a round that begins after it.
+
+    Such a round begins now, but for background reads, which wait for the next
+    heartbeat: each replica begins some every second, so that messages would
+    grow with the square of the replicas.
+    """
+    if request > 0:
+        begin_heartbeat_round(replica, now)
+        heartbeat_round = replica.heartbeat_round
+    else:
+        heartbeat_round = replica.heartbeat_round + 1
+    pending = PendingRead(request, requester, heartbeat_round)
     replica.pending_reads.append(pending)
 
 
--- a/tests/core/consensus/dynamic_membership.feature
+++ b/tests/core/consensus/dynamic_membership.feature
@@ -47,6 +47,14 @@
     When the last voter is slow to join, the first change is accepted and the leader is killed at once
     Then within 8 seconds a leader accepts another change
 
+  # In each heartbeat interval, the leader exchanges a heartbeat with each
+  # other member, and each of these asks it once how recent its state is.
+  Scenario: What members send grows with their number and not with its square
+    Given 8 instances with 3 seeds and a fault tolerance of 1
+    When nothing is proposed for 10 s
+    Then at most 4 messages were sent for each other member and heartbeat
+    And the state at each instance was confirmed at most 0.7 s ago
+
   Scenario: Instances that restart with empty disks never bootstrap a new cluster
     Given 3 instances with 3 seeds and a fault tolerance of 1
     When all instances restart with empty disks and may not bootstrap a cluster
--- a/tests/core/consensus/steps/dynamic_membership_steps.py
+++ b/tests/core/consensus/steps/dynamic_membership_steps.py
@@ -7,6 +7,7 @@
 from behave import when
 from pistachiohook_core.consensus.replica import Role
 from virtual_cluster import Cluster
+from virtual_cluster import TIMING
 
 #: Names in the order in which instances start; some are spare.
 NAMES = 'abcdefgh'
@@ -305,3 +306,35 @@
         for name in list_running(cluster)
         if cluster.instances[name].identity not in replica.membership.voters
     )
+
+
+@when('nothing is proposed for {length:d} s')
+def count_messages(context, length):
+    cluster = context.cluster
+    wait_until(cluster, 20, lambda: len(cluster.voters()) == 3)
+    cluster.run(5)
+    context.heartbeats = length / TIMING.heartbeat
+    context.messages = 0
+    end = cluster.now + length
+    while cluster.now < end:
+        cluster.tick()
+        while cluster.in_flight:
+            context.messages += 1
+            cluster.deliver()
+
+
+@then(
+    'at most {number:d} messages were sent for each other member and heartbeat'
+)
+def check_messages(context, number):
+    others = len(list_running(context.cluster)) - 1
+    # One more heartbeat fits into the interval when it begins with one.
+    most = number * others * (context.heartbeats + 1)
+    assert context.messages <= most, (context.messages, most)
+
+
+@then('the state at each instance was confirmed at most {age:f} s ago')
+def check_confirmed(context, age):
+    cluster = context.cluster
+    ages = [cluster.freshness(name) for name in list_running(cluster)]
+    assert max(ages) <= age, ages
