Fetch routes from another control instance after a failed attempt

Cause: a balancer fetched newer routes from the instance whose answer told of the highest version, and after a failure from the same one again. An instance that answers hellos over UDP and can't send its routes, or sends older ones, kept the balancer on old routes for as long as it lasted, and the balancer went on reporting that it is ready.

Change: each failure leads to the next instance with the newest version, those of the own zone and with a disk first; routes older than announced count as a failure. A balancer that knows of newer routes for 1.5 s without having them reports that it is not ready. It waits for an announcement instead of looking for one 20 times a second.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
@@ -182,12 +182,40 @@
 
         :returns: ``None`` when no control instance has answered recently
         """
+        return next(iter(self._list_newest(now)), None)
+
+    def choose_source(
+        self, version: int, failures: int, now: float
+    ) -> Welcome | None:
+        """Return the answer of the instance to fetch newer routes from.
+
+        :param version: version that is applied
+        :param failures: fetches that have failed since the last success; each
+            leads to another instance, since one may answer and yet be unable
+            to send its routes
+        :returns: ``None`` when no recent answer has a higher version
+        """
+        newest = self._list_newest(now)
+        if not newest or newest[0].version <= version:
+            return None
+        return newest[failures % len(newest)]
+
+    def _list_newest(self, now: float) -> tuple[Welcome, ...]:
+        """Return the recent answers that have the highest version.
+
+        Those of the own zone come first, those with a disk before others.
+        """
         recent = [
             welcome
             for welcome, heard_at in self._welcomes.values()
             if now - heard_at <= NODE_TIMEOUT
         ]
-        return max(recent, key=lambda one: one.version, default=None)
+        version = max((one.version for one in recent), default=0)
+        newest = [one for one in recent if one.version == version]
+        return tuple(sorted(newest, key=self._rank_source))
+
+    def _rank_source(self, welcome: Welcome) -> tuple[bool, bool]:
+        return (welcome.node.zone != self.zone, not welcome.durable)
 
     def is_confirmed(self, version: int, now: float) -> bool:
         """Tell whether a version of the routes is confirmed as the newest.
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -251,6 +251,7 @@
     :param controls: live control instances; empty in a brief answer
     :param balancers: live balancers; empty in an answer to a balancer and in
         a brief answer
+    :param durable: whether the control instance has a disk
     """
 
     node: Node
@@ -259,6 +260,7 @@
     routes: str
     controls: tuple[Node, ...]
     balancers: tuple[Node, ...]
+    durable: bool = False
 
 
 #: Encoding of the messages about flows, each sent as one datagram.
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from functools import partial
 import time
 from typing import TYPE_CHECKING
@@ -50,9 +51,17 @@
 #: the 3 s in which new routes must be applied.
 FETCH_TIMEOUT = 0.8
 
-#: Interval of the check whether control has announced newer routes, in
-#: seconds.
-FETCH_INTERVAL = 0.05
+#: Delay of another attempt to fetch routes after a failed one, in seconds.
+FETCH_RETRY_DELAY = 0.05
+
+#: Interval of the check whether an announcement of newer routes still counts,
+#: in seconds.
+ANNOUNCEMENT_CHECK_INTERVAL = 1.0
+
+#: Time for which a balancer may know of newer routes without having fetched
+#: them, in seconds, before it reports that it is not ready: well below the
+#: time in which new routes must be applied.
+BEHIND_MAX = 1.5
 
 #: Interval at which idle flows and agents that have stopped reporting are
 #: removed, in seconds.
@@ -93,6 +102,8 @@
     report: Report
     confirmed: bool = False
     stopping: bool = False
+    _behind_since: float | None = None
+    _routes_announced: asyncio.Event = attrs.field(factory=asyncio.Event)
     _timer: asyncio.TimerHandle | None = None
 
     def find_health(self) -> Health:
@@ -102,6 +113,8 @@
             return Health(False, 'leaving')
         if not self.confirmed:
             return Health(False, 'routes are not confirmed yet')
+        if self._is_behind(loop.time()):
+            return Health(False, 'newer routes could not be fetched')
         if not self.balancer.count_agents(loop.time()):
             return Health(False, 'no agent is reporting')
         return Health(True, 'serving')
@@ -125,18 +138,31 @@
         if isinstance(message, Welcome):
             self.finder.receive_welcome(sender, message, now)
             self._update_confirmed(now)
+            if message.version > self._version:
+                self._routes_announced.set()
             return
         self._execute(self.balancer.receive_message(sender, message, now))
 
     async def follow_routes(self) -> None:
-        """Fetch and apply newer routes periodically, until cancelled."""
+        """Fetch and apply announced newer routes, until cancelled."""
         loop = asyncio.get_running_loop()
+        failures = 0
         while True:
-            newest = self.finder.find_newest(loop.time())
-            if newest is not None and newest.version > self._version:
-                await self._fetch_routes(newest)
-            self._update_confirmed(loop.time())
-            await asyncio.sleep(FETCH_INTERVAL)
+            source = self.finder.choose_source(
+                self._version, failures, loop.time()
+            )
+            if source is None:
+                self._behind_since = None
+                await self._await_announcement()
+                continue
+            if self._behind_since is None:
+                self._behind_since = loop.time()
+            if await self._fetch_routes(source):
+                failures, self._behind_since = 0, None
+                self._update_confirmed(loop.time())
+            else:
+                failures += 1
+                await asyncio.sleep(FETCH_RETRY_DELAY)
 
     async def expire_idle(self) -> None:
         """Remove idle flows and agents periodically, until cancelled."""
@@ -145,26 +171,41 @@
             self.balancer.expire_idle(loop.time())
             await asyncio.sleep(EXPIRE_INTERVAL)
 
+    async def _await_announcement(self) -> None:
+        self._routes_announced.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(ANNOUNCEMENT_CHECK_INTERVAL):
+                await self._routes_announced.wait()
+
     @property
     def _version(self) -> int:
         return self.balancer.table.version if self.balancer.table else 0
 
+    def _is_behind(self, now: float) -> bool:
+        since = self._behind_since
+        return since is not None and now - since > BEHIND_MAX
+
     def _update_confirmed(self, now: float) -> None:
         if self._version and not self.confirmed:
             self.confirmed = self.finder.is_confirmed(self._version, now)
 
-    async def _fetch_routes(self, newest: Welcome) -> None:
+    async def _fetch_routes(self, source: Welcome) -> bool:
+        """Fetch and apply routes.
+
+        :param source: answer of the control instance to fetch from
+        :returns: whether routes as new as that answer announced are applied
+        """
         try:
             response = await AsyncHTTPClient().fetch(
-                f'http://{newest.routes}/routes',
+                f'http://{source.routes}/routes',
                 connect_timeout=FETCH_TIMEOUT,
                 request_timeout=FETCH_TIMEOUT,
             )
             routes = unpack_routes(response.body)
         except (HTTPError, OSError, ValueError) as error:
             reason = describe_error(error)
-            self.report(ROUTES_UNREADABLE, peer=newest.routes, reason=reason)
-            return
+            self.report(ROUTES_UNREADABLE, peer=source.routes, reason=reason)
+            return False
         former = self._version
         if self.balancer.set_routes(build_table(routes)):
             self.report(
@@ -172,8 +213,9 @@
                 version=routes.version,
                 former=former,
                 routes=len(routes.routes),
-                peer=newest.routes,
+                peer=source.routes,
             )
+        return self._version >= source.version
 
     def _execute(self, actions: Iterable[Action]) -> None:
         for action in actions:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -191,6 +191,7 @@
             str(self.settings.routes),
             controls,
             balancers,
+            durable=bool(self.settings.data_folder),
         )
         self.send(sender, welcome)
 
--- a/tests/core/passthrough/discovery.feature
+++ b/tests/core/passthrough/discovery.feature
@@ -48,6 +48,14 @@
     Then version 7 is confirmed
     And version 6 is not confirmed
 
+  Scenario: After each failed fetch another instance with the newest routes is tried
+    Given a node in zone "x" with the seeds "c1" and "c2"
+    When "c1" of zone "y" answers with version 7 and a quorum confirmation that is 0 ms old
+    And "c2" of zone "x" answers with version 7 and a quorum confirmation that is 0 ms old
+    And "c3" of zone "x" answers with version 6 and a quorum confirmation that is 0 ms old
+    Then a node with version 6 fetches from "c2", then after failures from "c1" and "c2"
+    And a node with version 7 fetches nothing
+
   Scenario: A balancer becomes known to all instances and expires when its hellos stop
     Given control instances "c1" and "c2"
     When a balancer "b1" sends a hello to "c1"
--- a/tests/core/passthrough/steps/discovery_steps.py
+++ b/tests/core/passthrough/steps/discovery_steps.py
@@ -282,3 +282,22 @@
 @then('the document is the one that was written')
 def check_document(context):
     assert read_document(context.state_machine.current) == b'document'
+
+
+@then(
+    'a node with version {version:d} fetches from "{first}", then after'
+    ' failures from "{second}" and "{third}"'
+)
+def check_sources(context, version, first, second, third):
+    sources = [
+        context.finder.choose_source(version, failures, context.now)
+        for failures in range(3)
+    ]
+    found = [source.node.address for source in sources]
+    assert found == [str(HOSTS[one]) for one in (first, second, third)], found
+
+
+@then('a node with version {version:d} fetches nothing')
+def check_no_source(context, version):
+    finder = context.finder
+    assert finder.choose_source(version, 0, context.now) is None
