Send hellos to one control instance, and lists only when they have changed

Cause: each node sent a hello every 0.4 s to every control instance of its zone, and every 2 s to all others; each answer of the own zone carried all control instances and balancers again. The messages grew with nodes times control instances, the bytes with nodes times balancers.

Change: a node asks one instance of its zone, best one with a disk, while it answers and confirms a quorum, and two others in turn every 2 s. Lists have a number that changes with them; a node that has the newest is not sent them again.

Before: the new scenarios of discovery.feature can't pass, there was no such number. After: at most 3.6 hellos a second with 5, 15 and 49 control instances, and each of them asked within a minute; lists sent once in 20 s.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from itertools import cycle
+from itertools import islice
+import secrets
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
@@ -15,6 +18,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
 _Key = TypeVar('_Key')
 
@@ -60,9 +64,18 @@
 #: remove a balancer.
 GOSSIP_INTERVAL = 1.0
 
-#: Time between two hellos to all control instances, in seconds.
+#: Time between two hellos to control instances of other zones, in seconds.
 SURVEY_INTERVAL = 2.0
 
+#: Control instances of other zones that are sent a hello at a time, in turn:
+#: two, so that one that is down does not hide the others. What a node sends
+#: does not grow with their number.
+SURVEY_SIZE = 2
+
+#: Bits of the number of lists that count their changes; those above tell the
+#: runs of a control instance apart.
+LISTS_BITS = 32
+
 
 @attrs.define
 class Directory:
@@ -75,25 +88,45 @@
     _balancers: dict[Node, float] = attrs.field(factory=dict)
     _relayed: dict[Node, float] = attrs.field(factory=dict)
     _controls: dict[Node, float] = attrs.field(factory=dict)
+    _lists: int = attrs.field(
+        factory=lambda: (secrets.randbits(LISTS_BITS - 1) | 1) << LISTS_BITS
+    )
 
     def receive_hello(self, hello: Hello, now: float) -> None:
         """Register the sender of a hello and the balancers that it lists."""
+        size = self._size
         if hello.role == BALANCER:
             self._balancers[hello.node] = now
         elif hello.role == CONTROL and hello.node != self.node:
             self._controls[hello.node] = now
             self._relayed.update(dict.fromkeys(hello.balancers, now))
+        if self._size != size:
+            self._lists += 1
 
     def expire(self, now: float) -> None:
         """Remove nodes whose hellos have stopped."""
+        size = self._size
         for nodes in (self._balancers, self._relayed, self._controls):
             _drop_older(nodes, now - NODE_TIMEOUT)
+        if self._size != size:
+            self._lists += 1
+
+    @property
+    def _size(self) -> int:
+        return len(self._balancers) + len(self._relayed) + len(self._controls)
+
+    def number_lists(self, hello: Hello) -> int:
+        """Return the number of the lists for an answer; 0 for a brief one."""
+        return 0 if hello.brief else self._lists
 
     def list_for(
         self, hello: Hello
     ) -> tuple[tuple[Node, ...], tuple[Node, ...]]:
-        """Return the control instances and balancers that an answer lists."""
-        if hello.brief:
+        """Return the control instances and balancers that an answer lists.
+
+        A node that has the newest lists gets none.
+        """
+        if hello.brief or hello.lists == self._lists:
             return (), ()
         balancers = self.list_balancers() if hello.role == AGENT else ()
         return self.list_controls(), balancers
@@ -124,7 +157,9 @@
     _welcomes: dict[Address, tuple[Welcome, float]] = attrs.field(factory=dict)
     _controls: dict[Address, float] = attrs.field(factory=dict)
     _balancers: dict[Node, float] = attrs.field(factory=dict)
+    _listed: dict[Address, Welcome] = attrs.field(factory=dict)
     _surveyed_at: float = float('-inf')
+    _surveys: int = 0
 
     def receive_welcome(
         self, sender: Address, welcome: Welcome, now: float
@@ -133,29 +168,55 @@
 
         :returns: balancers that were not known, including restarted ones
         """
+        listed = self._listed.get(sender)
+        if listed is None or not welcome.lists or welcome.controls:
+            listed = welcome
+        if welcome.lists:
+            self._listed[sender] = listed
         unknown = tuple(
-            node for node in welcome.balancers if node not in self._balancers
+            node for node in listed.balancers if node not in self._balancers
         )
         self._welcomes[sender] = (welcome, now)
-        for address in _list_addresses(welcome.controls):
+        for address in _list_addresses(listed.controls):
             self._controls[address] = now
-        for node in welcome.balancers:
+        for node in listed.balancers:
             self._balancers[node] = now
         return unknown
 
+    def find_lists(self, control: Address) -> int:
+        """Return the number of the lists that are held from an instance."""
+        listed = self._listed.get(control)
+        return 0 if listed is None else listed.lists
+
     def choose_controls(self, now: float) -> tuple[Address, ...]:
         """Return the control instances to send a hello to now.
 
-        These are the instances of the own zone while they answer and confirm
-        a quorum. Otherwise, and at every :data:`SURVEY_INTERVAL`, they are all
-        known instances.
+        This is one instance of the own zone, best with a disk, while any there
+        answers and confirms a quorum. At every :data:`SURVEY_INTERVAL`, some
+        other instances are added, in turn. Otherwise they are all known
+        instances.
         """
         self._expire(now)
         local = self._list_local(now)
-        if local and now - self._surveyed_at < SURVEY_INTERVAL:
-            return local
+        if not local:
+            self._surveyed_at = now
+            return self.list_controls()
+        chosen = max(local, key=self._is_durable)
+        if now - self._surveyed_at < SURVEY_INTERVAL:
+            return (chosen,)
         self._surveyed_at = now
-        return self.list_controls()
+        return (chosen, *self._survey(chosen))
+
+    def _is_durable(self, control: Address) -> bool:
+        return self._welcomes[control][0].durable
+
+    def _survey(self, chosen: Address) -> Iterator[Address]:
+        """Return the next instances to survey, each in its turn."""
+        others = [one for one in self.list_controls() if one != chosen]
+        count = min(SURVEY_SIZE, len(others))
+        first = self._surveys % max(1, len(others))
+        self._surveys = first + count
+        return islice(cycle(others), first, first + count)
 
     def wants_brief(self, control: Address, now: float) -> bool:
         """Tell whether a control instance should omit the lists of nodes.
@@ -249,6 +310,7 @@
         ]
         for sender in expired:
             del self._welcomes[sender]
+            self._listed.pop(sender, None)
 
 
 def _drop_older(known: dict[_Key, float], since: float) -> None:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -231,12 +231,15 @@
     :param balancers: balancers that have registered with the sender directly,
         when it is a control instance
     :param brief: whether the answer should omit the lists of nodes
+    :param lists: number of the newest lists that the sender has from the
+        receiver, which the answer may omit; 0 when it has none
     """
 
     role: str
     node: Node
     balancers: tuple[Node, ...] = ()
     brief: bool = False
+    lists: int = 0
 
 
 @attrs.frozen
@@ -248,8 +251,11 @@
     :param proof_age_ms: age of the instance's last quorum confirmation
     :param routes: address from which the routes are fetched over HTTP,
         ``host:port``
-    :param controls: live control instances; empty in a brief answer
-    :param balancers: live balancers; empty in an answer to a balancer and in
+    :param controls: live control instances; empty in a brief answer and when
+        the sender of the hello has the lists
+    :param balancers: live balancers; empty in an answer to a balancer, in a
+        brief answer and when the sender of the hello has the lists
+    :param lists: number of the lists, which changes with their content; 0 in
         a brief answer
     :param durable: whether the control instance has a disk
     """
@@ -260,6 +266,7 @@
     routes: str
     controls: tuple[Node, ...]
     balancers: tuple[Node, ...]
+    lists: int = 0
     durable: bool = False
 
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -191,7 +191,8 @@
             str(self.settings.routes),
             controls,
             balancers,
-            durable=bool(self.settings.data_folder),
+            self.directory.number_lists(message),
+            bool(self.settings.data_folder),
         )
         self.send(sender, welcome)
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/polling.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/polling.py
@@ -47,7 +47,8 @@
         controls = finder.choose_controls(now)
         for address in controls:
             brief = finder.wants_brief(address, now)
-            send(address, Hello(role, node, brief=brief))
+            lists = finder.find_lists(address)
+            send(address, Hello(role, node, brief=brief, lists=lists))
         is_reachable = finder.find_newest(now) is not None
         if is_reachable != was_reachable:
             was_reachable = is_reachable
--- a/tests/core/passthrough/discovery.feature
+++ b/tests/core/passthrough/discovery.feature
@@ -34,6 +34,37 @@
     And "c2" is asked for a brief answer
     And after 1.2 seconds without an answer "c2" is asked to list nodes
 
+  Scenario: One instance of the own zone is asked, best one with a disk
+    Given a node in zone "x" with the seeds "c1" and "c2"
+    When "c1" of zone "x" and "c2" of zone "x" answer
+    Then one instance alone is asked
+    When "c2" of zone "x" answers and has a disk
+    Then it asks "c2"
+    And after 1.2 seconds without an answer it asks "c1" and "c2"
+
+  Scenario Outline: What a node sends does not grow with <number> control instances
+    Given a node in zone "x" that knows <number> control instances, one of them in its zone
+    When the one of its zone answers for 60 seconds
+    Then the node has sent at most 3.6 hellos a second
+    And it has asked each control instance
+
+    Examples:
+      | number |
+      | 5      |
+      | 15     |
+      | 49     |
+
+  Scenario: A node that has the newest lists is not sent them again and keeps them
+    Given control instances "c1" and "c2"
+    And a node in zone "x" with the seeds "c1" and "c2"
+    When a balancer "b1" sends a hello to "c1"
+    And the node polls "c1" for 20 seconds while "b1" does so too
+    Then it was sent the lists 1 time
+    And the balancer "b1" is known
+    When the hellos of "b1" stop and the node polls "c1" for 5 seconds
+    Then it was sent the lists 2 times
+    And after 13 seconds it is no longer known
+
   Scenario: A brief answer lists no nodes
     Given control instances "c1" and "c2"
     When a balancer "b1" sends a hello to "c1"
--- a/tests/core/passthrough/steps/discovery_steps.py
+++ b/tests/core/passthrough/steps/discovery_steps.py
@@ -18,6 +18,7 @@
 from pistachiohook_core.passthrough.discovery import CONTROL
 from pistachiohook_core.passthrough.discovery import Directory
 from pistachiohook_core.passthrough.discovery import Finder
+from pistachiohook_core.passthrough.discovery import HELLO_INTERVAL
 from pistachiohook_core.passthrough.messages import Hello
 from pistachiohook_core.passthrough.messages import Node
 from pistachiohook_core.passthrough.messages import Welcome
@@ -284,6 +285,102 @@
     assert read_document(context.state_machine.current) == b'document'
 
 
+@then('one instance alone is asked')
+def asks_one(context):
+    assert len(context.finder.choose_controls(context.now)) == 1
+
+
+@when('"{name}" of zone "{zone}" answers and has a disk')
+def answer_durable(context, name, zone):
+    node = make_node(name, zone)
+    welcome = Welcome(node, 1, 0, 'routes:1', (node,), (), durable=True)
+    context.finder.receive_welcome(HOSTS[name], welcome, context.now)
+
+
+@given(
+    'a node in zone "{zone}" that knows {number:d} control instances, one of'
+    ' them in its zone'
+)
+def start_among(context, zone, number):
+    context.now = 100.0
+    context.controls = [
+        Address(f'10.1.0.{index}', 1) for index in range(number)
+    ]
+    context.finder = Finder(zone, tuple(context.controls))
+    context.asked = []
+
+
+@when('the one of its zone answers for {seconds:d} seconds')
+def answer_locally(context, seconds):
+    own = context.controls[0]
+    node = Node(str(own), context.finder.zone)
+    welcome = Welcome(node, 1, 0, 'routes:1', (node,), ())
+    context.finder.receive_welcome(own, welcome, context.now)
+    context.seconds = seconds
+    end = context.now + seconds
+    while context.now < end:
+        context.finder.receive_welcome(own, welcome, context.now)
+        context.asked += context.finder.choose_controls(context.now)
+        context.now += HELLO_INTERVAL
+
+
+@then('the node has sent at most {rate:f} hellos a second')
+def check_rate(context, rate):
+    assert len(context.asked) <= rate * context.seconds, len(context.asked)
+
+
+@then('it has asked each control instance')
+def check_all_asked(context):
+    assert set(context.asked) == set(context.controls)
+
+
+@when(
+    'the node polls "{control}" for {seconds:d} seconds while "{name}" does so'
+    ' too'
+)
+def poll_both(context, control, seconds, name):
+    context.sent_lists = 0
+    poll(context, control, seconds, name)
+
+
+@when(
+    'the hellos of "{name}" stop and the node polls "{control}" for'
+    ' {seconds:d} seconds'
+)
+def poll_alone(context, name, control, seconds):
+    poll(context, control, seconds)
+
+
+def poll(context, control, seconds, balancer=None):
+    directory = context.directories[control]
+    finder, sender = context.finder, HOSTS[control]
+    end = context.now + seconds
+    while context.now < end:
+        if balancer is not None:
+            say_hello(context, balancer, control)
+        directory.expire(context.now)
+        hello = Hello(AGENT, make_node('a1'), lists=finder.find_lists(sender))
+        controls, balancers = directory.list_for(hello)
+        context.sent_lists += bool(controls)
+        welcome = Welcome(
+            directory.node,
+            1,
+            0,
+            'routes:1',
+            controls,
+            balancers,
+            directory.number_lists(hello),
+        )
+        finder.receive_welcome(sender, welcome, context.now)
+        context.now += HELLO_INTERVAL
+
+
+@then('it was sent the lists {times:d} time')
+@then('it was sent the lists {times:d} times')
+def check_sent(context, times):
+    assert context.sent_lists == times, context.sent_lists
+
+
 @then(
     'a node with version {version:d} fetches from "{first}", then after'
     ' failures from "{second}" and "{third}"'
