Bound the load reports of an agent, however many balancers there are

Cause: each agent reported to every balancer of its zone five times a second and to all others each 3 s.

Change: with more than 6 balancers in the zone, or 16 in other zones, the interval grows in proportion. The report tells it, so that a balancer knows when an agent is silent. Answers to offers carry the load as before.

After: at most 36 messages a second with 6, 24 and 96 balancers.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -34,6 +34,7 @@
 from .messages import UnownedPacket
 from .messages import WithdrawOffer
 from .placement import estimate_wait
+from .placement import ReportIntervals
 from .placement import WAIT_MAX_MS
 from .queueing import choose_last
 from .queueing import choose_next
@@ -210,6 +211,7 @@
     :param service_ms: mean time for which a request occupies a slot
     :param expected: mean number of requests that the open flows which do not
         count as in progress are expected to have in progress
+    :param report_intervals: times between two regular load reports
     :param duty_cycles: duty cycles of the flows by route
     :param handshake_time: mean time from a target's acceptance to the caller's
         next packet, in seconds
@@ -233,6 +235,7 @@
     counts: Counter[str] = attrs.field(factory=Counter)
     service_ms: float = INITIAL_SERVICE_MS
     expected: float = 0.0
+    report_intervals: ReportIntervals = attrs.field(factory=ReportIntervals)
     duty_cycles: DutyCycles = attrs.field(factory=DutyCycles)
     handshake_time: float = INITIAL_HANDSHAKE_TIME
     _sequence: int = 0
@@ -261,6 +264,8 @@
             round(self.service_ms, 1),
             int(cold * 1000),
             round(max(0.0, self.expected), 3),
+            int(self.report_intervals.local * 1000),
+            int(self.report_intervals.remote * 1000),
         )
 
     def find_state(self, now: float) -> TargetState:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -36,6 +36,7 @@
 from .placement import AgentView
 from .placement import Choice
 from .placement import choose_agent
+from .placement import find_report_timeout
 from .placement import find_wait_budget
 from .placement import is_reporting
 from .routes import choose_service
@@ -93,8 +94,9 @@
 #: Largest number of flows in the table; the least recently used are evicted.
 FLOWS_MAX = 65_536
 
-#: Time without a message after which an agent is removed, in seconds. Flows of
-#: an agent that restarts are found again within this time.
+#: Time without a message after which an agent is removed, in seconds, or
+#: longer when it reports rarely. Flows of an agent that restarts are found
+#: again within this time.
 AGENT_TIMEOUT = 10.0
 
 
@@ -284,7 +286,8 @@
         expired = [
             view.address
             for view in self._list_views()
-            if now - view.heard_at > AGENT_TIMEOUT
+            if now - view.heard_at
+            > max(AGENT_TIMEOUT, find_report_timeout(view.load, self.zone))
         ]
         for address in expired:
             self._drop_view(address)
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -60,6 +60,9 @@
         start
     :param expected: mean number of requests that the other open flows are
         expected to have in progress
+    :param interval_ms: time between two reports to a balancer of the agent's
+        zone
+    :param remote_interval_ms: the same for a balancer of another zone
     """
 
     sequence: int
@@ -72,6 +75,8 @@
     service_ms: float
     cold_ms: int = 0
     expected: float = 0.0
+    interval_ms: int = 200
+    remote_interval_ms: int = 3000
 
 
 @attrs.frozen
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
@@ -21,19 +21,31 @@
 #: in seconds. One balancer offers an agent only a few flows in that time.
 REPORT_INTERVAL = 0.2
 
-#: Load reports to the own zone for each one to the other zones. Traffic
-#: between zones is billed, and balancers of other zones send flows here only
-#: when their own targets are full; each answer to an offer then carries the
-#: load too.
-REPORTS_PER_REMOTE_REPORT = 15
+#: Balancers of its own zone up to which an agent reports to each of them every
+#: :data:`REPORT_INTERVAL`. With more of them the interval grows in proportion,
+#: so that what an agent sends doesn't: each balancer then offers it fewer
+#: flows, and each answer carries the load too.
+REPORTED_BALANCERS = 6
 
-#: Time without a message after which an agent of the own zone gets no new
-#: flows, in seconds: four of its reports.
-LOCAL_AGENT_TIMEOUT = 4 * REPORT_INTERVAL
+#: Time between two load reports of an agent to the balancers of other zones,
+#: in seconds. Traffic between zones is billed, and those balancers send flows
+#: here only when their own targets are full; each answer to an offer then
+#: carries the load too.
+REMOTE_REPORT_INTERVAL = 3.0
 
-#: The same for an agent of another zone, in seconds: two of its reports and a
-#: margin.
-REMOTE_AGENT_TIMEOUT = 7.0
+#: Balancers of other zones up to which an agent reports to each of them every
+#: :data:`REMOTE_REPORT_INTERVAL`; the interval grows as it does in the zone.
+REPORTED_REMOTE_BALANCERS = 16
+
+#: Reports of an agent of the own zone that may be missing before it gets no
+#: new flows.
+LOCAL_REPORTS_MISSED = 4
+
+#: The same for an agent of another zone.
+REMOTE_REPORTS_MISSED = 2
+
+#: Time by which a report from another zone may be late, in seconds.
+REMOTE_REPORT_MARGIN = 1.0
 
 #: Wait that a target in another zone is charged in the comparison, as a share
 #: of the route's target latency. Traffic between zones is billed, and after a
@@ -152,6 +164,30 @@
     return ahead / slots * load.service_ms * slowdown
 
 
+@attrs.frozen
+class ReportIntervals:
+    """Times between two load reports of an agent to one balancer.
+
+    :param local: interval for balancers of the agent's zone, in seconds
+    :param remote: interval for those of other zones, in seconds
+    """
+
+    local: float = REPORT_INTERVAL
+    remote: float = REMOTE_REPORT_INTERVAL
+
+
+def find_report_intervals(local: int, remote: int) -> ReportIntervals:
+    """Return the intervals at which what an agent sends is bounded.
+
+    :param local: number of balancers of the agent's zone
+    :param remote: number of balancers of other zones
+    """
+    return ReportIntervals(
+        REPORT_INTERVAL * max(1.0, local / REPORTED_BALANCERS),
+        REMOTE_REPORT_INTERVAL * max(1.0, remote / REPORTED_REMOTE_BALANCERS),
+    )
+
+
 def estimate_recurring_wait(load: Load) -> float:
     """Return the mean wait of requests of flows that stay open.
 
@@ -226,9 +262,20 @@
 
 def is_reporting(view: AgentView, zone: str, now: float) -> bool:
     """Tell whether an agent has sent a message recently."""
-    local = view.load.zone == zone
-    timeout = LOCAL_AGENT_TIMEOUT if local else REMOTE_AGENT_TIMEOUT
-    return now - view.heard_at <= timeout
+    return now - view.heard_at <= find_report_timeout(view.load, zone)
+
+
+def find_report_timeout(load: Load, zone: str) -> float:
+    """Return the time without a message after which an agent gets no flows.
+
+    :param load: load report of the agent
+    :param zone: availability zone of the balancer
+    :returns: the time, in seconds
+    """
+    if load.zone == zone:
+        return LOCAL_REPORTS_MISSED * load.interval_ms / 1000
+    awaited = REMOTE_REPORTS_MISSED * load.remote_interval_ms / 1000
+    return awaited + REMOTE_REPORT_MARGIN
 
 
 def _is_eligible(view: AgentView, zone: str, now: float) -> bool:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
@@ -21,8 +21,7 @@
 from pistachiohook_core.passthrough.messages import Node
 from pistachiohook_core.passthrough.messages import TargetState
 from pistachiohook_core.passthrough.messages import Welcome
-from pistachiohook_core.passthrough.placement import REPORT_INTERVAL
-from pistachiohook_core.passthrough.placement import REPORTS_PER_REMOTE_REPORT
+from pistachiohook_core.passthrough.placement import find_report_intervals
 from pistachiohook_core.passthrough.segments import read_flow
 from pistachiohook_core.passthrough.segments import write_host
 
@@ -125,17 +124,26 @@
 
         Balancers of other availability zones get fewer reports.
         """
-        report_number = 0
+        remote_at = float('-inf')
         while True:
-            self._report_load(
-                include_remote=report_number % REPORTS_PER_REMOTE_REPORT == 0
-            )
-            report_number += 1
-            await asyncio.sleep(REPORT_INTERVAL)
+            self._set_intervals()
+            include_remote = self._now() >= remote_at
+            if include_remote:
+                remote_at = self._now() + self.agent.report_intervals.remote
+            self._report_load(include_remote)
+            await asyncio.sleep(self.agent.report_intervals.local)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
+    def _set_intervals(self) -> None:
+        zone = self.settings.node.zone
+        balancers = self.finder.list_balancers()
+        local = sum(node.zone == zone for node in balancers)
+        self.agent.report_intervals = find_report_intervals(
+            local, len(balancers) - local
+        )
+
     def _expire(self) -> None:
         self._execute(self.agent.expire(self._now()))
         self._report_new_state()
--- a/tests/core/passthrough/mesh.py
+++ b/tests/core/passthrough/mesh.py
@@ -20,8 +20,7 @@
 from pistachiohook_core.passthrough.balancer import Balancer
 from pistachiohook_core.passthrough.messages import FLOW_CODEC
 from pistachiohook_core.passthrough.messages import LoadReport
-from pistachiohook_core.passthrough.placement import REPORT_INTERVAL
-from pistachiohook_core.passthrough.placement import REPORTS_PER_REMOTE_REPORT
+from pistachiohook_core.passthrough.placement import find_report_intervals
 from pistachiohook_core.passthrough.routes import build_table
 from pistachiohook_core.passthrough.routes import Route
 from pistachiohook_core.passthrough.routes import RouteSet
@@ -133,6 +132,8 @@
     accept_s: float = 0.0
     #: Number of messages sent from one zone to another.
     messages_between_zones: int = 0
+    #: Number of messages sent by each process.
+    messages_from: Counter = attrs.field(factory=Counter)
     #: Number of times that each agent has checked its flows.
     expiries: Counter = attrs.field(factory=Counter)
     #: Start of each agent and the deadline that its timer is set to.
@@ -201,20 +202,29 @@
         )
         self.agents[name].receive_announcement(view, self.now)
 
-    def report(self, name, agent, turn=0):
+    def report(self, name, agent, remote_at=0.0):
         if self.agents.get(name) is not agent:
             return
         resumption = self.find_resumption(name)
         if resumption is not None:
-            self.at(resumption, self.report, name, agent, turn)
+            self.at(resumption, self.report, name, agent, remote_at)
             return
+        local = [
+            balancer
+            for balancer in self.balancers
+            if self.zones[balancer] == self.zones[name]
+        ]
+        agent.report_intervals = find_report_intervals(
+            len(local), len(self.balancers) - len(local)
+        )
         load = LoadReport(agent.describe_load(self.now))
-        remote = not turn % REPORTS_PER_REMOTE_REPORT
-        for balancer in self.balancers:
-            if remote or self.zones[balancer] == self.zones[name]:
-                self.send(name, Send(self.address(balancer), load))
-        later = self.now + REPORT_INTERVAL
-        self.at(later, self.report, name, agent, turn + 1)
+        remote = self.now >= remote_at
+        if remote:
+            remote_at = self.now + agent.report_intervals.remote
+        for balancer in self.balancers if remote else local:
+            self.send(name, Send(self.address(balancer), load))
+        later = self.now + agent.report_intervals.local
+        self.at(later, self.report, name, agent, remote_at)
 
     def expire_agent(self, name, agent):
         resumption = self.find_resumption(name)
@@ -236,6 +246,7 @@
 
     def send(self, name, action):
         data = FLOW_CODEC.encode(action.message)
+        self.messages_from[name] += 1
         receiver = action.address.host
         if {name, receiver} & self.disconnected or receiver not in self.zones:
             return
--- a/tests/core/passthrough/placing.feature
+++ b/tests/core/passthrough/placing.feature
@@ -87,6 +87,30 @@
     Then each agent has sent the other zone's balancer at most 11 messages
     And every balancer knows 8 reporting agents
 
+  Scenario Outline: What an agent sends between zones does not grow with <balancers> balancers there
+    Given <balancers> balancers in zone "x" and 2 agents in zone "y"
+    When nobody calls for 60 s
+    Then each agent has sent at most 6 messages a second
+    And every balancer knows 2 reporting agents
+
+    Examples:
+      | balancers |
+      | 4         |
+      | 48        |
+      | 192       |
+
+  Scenario Outline: What an agent sends does not grow with <balancers> balancers
+    Given <balancers> balancers in zone "x" with 4 agents
+    When nobody calls for 20 s
+    Then each agent has sent at most 36 messages a second
+    And every balancer knows 4 reporting agents
+
+    Examples:
+      | balancers |
+      | 6         |
+      | 24        |
+      | 96        |
+
   Scenario: Delayed retransmissions of a refused caller do not cause new offers
     Given 1 balancers in zone "x" with 1 agents whose targets queue 4
     When the target starts to leave, and an opening packet arrives with its retransmissions after 0.7 s
--- a/tests/core/passthrough/steps/crest_steps.py
+++ b/tests/core/passthrough/steps/crest_steps.py
@@ -66,9 +66,9 @@
 
     reports = 0
 
-    def report(self, name, agent, turn=0):
+    def report(self, name, agent, remote_at=0.0):
         before = self.reports
-        super().report(name, agent, turn)
+        super().report(name, agent, remote_at)
         self.reports = before
 
     def send(self, name, action):
@@ -82,14 +82,14 @@
     return work * LONG_FACTOR if random.random() < LONG_PART else work
 
 
-def simulate(plan, make_placement):
+def simulate(plan, make_placement, balancers=None):
     """Simulate the load peak.
 
     :param make_placement: returns the placement function for a mesh
     """
     load, zones, agents = plan
     mesh = CountingMesh()
-    for number in range(6 * zones):
+    for number in range(balancers or 6 * zones):
         mesh.add_balancer(f'b{number}', f'z{number % zones}')
     for number in range(agents):
         mesh.add_agent(
@@ -136,18 +136,27 @@
 )
 def plan_peak(context, load, zones, agents):
     context.plan = (load, zones, agents)
+    context.balancers = None
+
+
+@given('{number:d} balancers')
+def set_balancers(context, number):
+    context.balancers = number
 
 
 @when('it is simulated with random, actual and perfectly informed placement')
 def simulate_all(context):
-    context.random = simulate(context.plan, lambda _: choose_at_random)
-    context.perfect = simulate(context.plan, inform_perfectly)
+    plan, balancers = context.plan, context.balancers
+    context.random = simulate(plan, lambda _: choose_at_random, balancers)
+    context.perfect = simulate(plan, inform_perfectly, balancers)
     simulate_actual(context)
 
 
 @when('it is simulated with actual placement')
 def simulate_actual(context):
-    context.actual = simulate(context.plan, lambda _: choose_agent)
+    context.actual = simulate(
+        context.plan, lambda _: choose_agent, context.balancers
+    )
 
 
 @then(
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -331,6 +331,20 @@
     await_reports(context.mesh)
 
 
+@given(
+    '{balancers:d} balancers in zone "{one}" and {agents:d} agents in zone'
+    ' "{two}"'
+)
+def build_remote(context, balancers, one, agents, two):
+    context.mesh = Mesh()
+    for number in range(balancers):
+        context.mesh.add_balancer(f'b{number}', one)
+    for number in range(agents):
+        context.mesh.add_agent(f'a{number}', two, slots=4)
+    context.mesh.set_routes('s')
+    await_reports(context.mesh)
+
+
 @when(
     '{callers:d} callers in each zone call every {pause:d} ms for {length:d} s'
 )
@@ -768,6 +782,7 @@
 @when('nobody calls for {length:d} s')
 def pass_idle(context, length):
     context.mesh.messages_between_zones = 0
+    context.mesh.messages_from.clear()
     context.mesh.expiries.clear()
     context.mesh.run(length)
     context.idle_length = length
@@ -780,6 +795,13 @@
     assert max(checks.values()) <= most * context.idle_length + 1, checks
 
 
+@then('each agent has sent at most {most:d} messages a second')
+def check_message_rate(context, most):
+    mesh = context.mesh
+    sent = {name: mesh.messages_from[name] for name in mesh.agents}
+    assert max(sent.values()) <= most * context.idle_length, sent
+
+
 @then(
     "each agent has sent the other zone's balancer at most {most:d} messages"
 )
