Accept changes with fewer disks than the fault tolerance wants

Cause: control accepted no change before it had 2 x tolerance + 1 voters.

Change: when no further voter has come for 5 s, changes are accepted by the voters that there are (20 s when there are no more than may be lost). Each waits for more voters than disks that may be lost, all of them if need be. When a quorum lost its disks and no more were lost than tolerated, the surviving voters, all of them together, elect a leader, which drops the lost voters and goes on. Answers that prove a loss carry a number that makes old ones void. Too few voters are logged once (4008) and counted.

After: every shape of 1 to 7 disks and a tolerance of 0 to 3 accepts changes and keeps them, those lost beyond tolerance stay without a leader.

--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/election.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/election.py
@@ -112,6 +112,8 @@
 def _start_pre_vote(replica: Replica, now: float) -> None:
     replica.role = Role.PRE_CANDIDATE
     _request_votes(replica, PreVoteRequest, now)
+    if _has_quorum(replica):
+        _campaign(replica, now)
 
 
 def _campaign(replica: Replica, now: float) -> None:
@@ -149,6 +151,8 @@
 def _has_quorum(replica: Replica) -> bool:
     membership = replica.membership
     granted = replica.granted_votes.intersection(membership.voters)
+    if replica.must_recover:
+        return granted.issuperset(replica.surviving_voters)
     return len(granted) >= membership.quorum
 
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/membership_changes.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/membership_changes.py
@@ -50,6 +50,7 @@
             '',
             replica.hard_state.term,
             replica.is_durable,
+            replica.join_number,
         )
         replica.outbox.append(Send(instance, message))
 
@@ -79,6 +80,7 @@
         retired=retired,
         instances=tuple(map(parse_instance_name, replica.membership.members)),
         durable=replica.is_durable,
+        number=message.number,
     )
     replica.outbox.append(Send(instance, response))
 
@@ -97,6 +99,13 @@
         replica.outbox.append(Retired())
     elif message.blank:
         replica.clusterless_instances.add(instance)
+        if message.number == replica.join_number:
+            replica.lost_voters.update(
+                voter
+                for voter in replica.membership.voters
+                if parse_instance_name(voter) == instance
+                and voter != message.sender
+            )
     else:
         replica.clusterless_instances.discard(instance)
 
@@ -108,6 +117,9 @@
     term too: otherwise quorums of the old and the new membership might not
     overlap.
     """
+    if replica.must_recover:
+        _drop_lost_voters(replica, now)
+        return
     log = replica.log
     changed_at, membership = log.find_membership(log.last_index)
     last_committed = changed_at <= replica.commit
@@ -122,6 +134,24 @@
         begin_heartbeat_round(replica, now)
 
 
+def _drop_lost_voters(replica: Replica, now: float) -> None:
+    """Let the surviving voters alone form the quorum.
+
+    A change of one voter at a time isn't possible: the quorum that would have
+    to accept it is lost. All surviving voters have elected this leader.
+    """
+    membership = replica.membership
+    lost = tuple(replica.lost_voters.intersection(membership.voters))
+    new_membership = attrs.evolve(
+        membership,
+        voters=replica.surviving_voters,
+        retired=_retire(membership, lost),
+    )
+    replica.lost_voters.clear()
+    add_entry(replica, EntryKind.MEMBERSHIP, membership=new_membership)
+    begin_heartbeat_round(replica, now)
+
+
 def _is_active_member(replica: Replica, now: float) -> bool:
     """Tell whether this replica is a member that hears a leader, or leads."""
     member = replica.identity in replica.membership.members
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/messages.py
@@ -150,9 +150,12 @@
     Sent by a replica that is no member or hears no leader.
 
     :param durable: whether the sender's journal survives a loss of power
+    :param number: number that the response echoes; it changes whenever the
+        sender hears from a leader
     """
 
     durable: bool = True
+    number: int = 0
 
 
 @attrs.frozen
@@ -164,12 +167,14 @@
         admitted again
     :param instances: names of the instances that are members
     :param durable: whether the responder's journal survives a loss of power
+    :param number: number of the request
     """
 
     blank: bool
     retired: bool
     instances: tuple[str, ...] = ()
     durable: bool = True
+    number: int = 0
 
 
 #: Codec of the messages between replicas; the numbers identify the classes.
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/raft.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/raft.py
@@ -9,6 +9,7 @@
 from .election import receive_pre_vote_response
 from .election import receive_vote
 from .election import receive_vote_response
+from .entries import parse_instance_name
 from .events import Compact
 from .events import Propose
 from .events import Read
@@ -94,6 +95,11 @@
 
 
 def _receive(replica: Replica, message: Message, now: float) -> None:
+    if replica.dynamic_membership is not None and message.cluster:
+        # All seeds may have lost their disks: the members that write to their
+        # former identities are then the only ones that know the cluster.
+        sender = parse_instance_name(message.sender)
+        replica.discovered_instances.add(sender)
     if not _is_addressed_to(replica, message):
         return
     newer = message.term > replica.hard_state.term
@@ -106,7 +112,9 @@
 
 def _is_addressed_to(replica: Replica, message: Message) -> bool:
     if isinstance(message, JoinRequest):
-        return message.cluster in ('', replica.cluster)
+        return '' in (replica.cluster, message.cluster) or (
+            replica.cluster == message.cluster
+        )
     if message.receiver != replica.identity:
         return False
     if isinstance(message, Append | InstallSnapshot | JoinResponse):
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
@@ -25,6 +25,9 @@
 #: disks could delay the votes and increase the term again and again.
 STARTUP_ELECTIONS = 4
 
+#: Size of the random number of a process's first join requests, in bits.
+JOIN_NUMBER_BITS = 48
+
 
 class Role(enum.Enum):
     """Role of a replica in its term."""
@@ -136,6 +139,9 @@
     :param granted_votes: identities that granted a vote or a pre-vote
     :param progress: as leader, the replication state of each other member, by
         identity
+    :param counted_voters: as leader, the voters at the last heartbeat
+    :param voters_changed_at: as leader, when these changed last; not before
+        its election
     :param heartbeat_round: number of the newest heartbeat round that it began
         as leader
     :param round_start_times: start time of each heartbeat round that no quorum
@@ -157,6 +163,10 @@
         no disk
     :param discovered_instances: names of instances that other replicas named
         as members
+    :param join_number: number of the join requests since a leader was last
+        heard
+    :param lost_voters: voters whose instances have answered such a request
+        under a new identity, so that their disks are known to be lost
     :param unsaved: entries for the next :class:`Persist`
     :param dirty: whether anything has changed that must be made durable
     :param rewrite: whether the journal must be written as a whole again
@@ -181,6 +191,8 @@
     join_at: float = 0.0
     granted_votes: set[str] = attrs.field(factory=set)
     progress: dict[str, Progress] = attrs.field(factory=dict)
+    counted_voters: tuple[str, ...] = ()
+    voters_changed_at: float = float('inf')
     heartbeat_round: int = 0
     round_start_times: dict[int, float] = attrs.field(factory=dict)
     pending_reads: list[PendingRead] = attrs.field(factory=list)
@@ -192,6 +204,8 @@
     clusterless_instances: set[str] = attrs.field(factory=set)
     diskless_instances: set[str] = attrs.field(factory=set)
     discovered_instances: set[str] = attrs.field(factory=set)
+    join_number: int = 0
+    lost_voters: set[str] = attrs.field(factory=set)
     dynamic_membership: DynamicMembership | None = None
     unsaved: tuple[Entry, ...] = ()
     dirty: bool = False
@@ -215,6 +229,32 @@
             self.commit,
         )
 
+    @property
+    def surviving_voters(self) -> tuple[str, ...]:
+        """Voters whose disks are not known to be lost."""
+        return tuple(
+            voter
+            for voter in self.membership.voters
+            if voter not in self.lost_voters
+        )
+
+    @property
+    def must_recover(self) -> bool:
+        """Whether so many voters are lost that no quorum is left.
+
+        As long as no more are lost than is tolerated, the surviving voters
+        together hold every accepted command. When more are lost, an accepted
+        command may be gone, and the cluster stays without a leader.
+        """
+        if self.dynamic_membership is None or not self.lost_voters:
+            return False
+        survivors = len(self.surviving_voters)
+        lost = len(self.membership.voters) - survivors
+        return (
+            0 < survivors < self.membership.quorum
+            and lost <= self.dynamic_membership.tolerance
+        )
+
     @property
     def is_voter(self) -> bool:
         """Whether this replica counts towards a quorum."""
@@ -246,11 +286,15 @@
     :param dynamic_membership: rules by which running instances become members
         and leave; ``None`` when exactly the configured instances vote
     """
+    random = Random(seed)
     replica = Replica(
         identity=saved.identity,
         instances=instances,
         timing=timing,
-        random=Random(seed),
+        random=random,
+        # A delayed response to the former process must not be taken for one
+        # to this process.
+        join_number=random.getrandbits(JOIN_NUMBER_BITS),
         cluster=saved.cluster,
         hard_state=saved.hard_state,
         log=Log(saved.snapshot, list(saved.entries)),
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/replication.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replication.py
@@ -31,12 +31,22 @@
 #: Limit for the payloads in one message, in bytes.
 BATCH_BYTES = 262_144
 
+#: Time after the last change of the voters from which a leader accepts
+#: commands with fewer voters than wanted, in seconds: longer than the starts
+#: of instances of one deployment lie apart.
+MORE_VOTERS_WAIT = 5.0
+
+#: The same while there are so few that the tolerated loss of disks could
+#: destroy an accepted command, in seconds.
+TOLERANT_VOTERS_WAIT = 20.0
+
 
 def become_leader(replica: Replica, now: float) -> None:
     """Become the leader of the current term."""
     replica.role = Role.LEADER
     replica.leader = replica.identity
     replica.granted_votes.clear()
+    replica.counted_voters = ()
     add_entry(replica, EntryKind.NOOP)
     begin_heartbeat_round(replica, now)
 
@@ -54,12 +64,12 @@
     _update_progress(replica, now)
     for identity in replica.progress:
         send_entries(replica, identity, now)
-    advance_commit(replica)
+    advance_commit(replica, now)
 
 
 def propose(replica: Replica, event: Propose, now: float) -> None:
     """Append commands to the log as the leader, or refuse all of them."""
-    refusal = _check_proposal(replica)
+    refusal = _check_proposal(replica, now)
     if refusal is not None:
         replica.outbox.extend(
             Refused(request, refusal) for request in event.requests
@@ -70,7 +80,7 @@
         replica.outbox.append(Appended(request, entry.index, entry.term))
     for identity in replica.progress:
         send_entries(replica, identity, now)
-    advance_commit(replica)
+    advance_commit(replica, now)
 
 
 def send_entries(replica: Replica, identity: str, now: float) -> None:
@@ -163,23 +173,24 @@
         progress.next_index = max(
             progress.next_index, progress.match_index + 1
         )
-        advance_commit(replica)
+        advance_commit(replica, now)
     else:
         progress.next_index = max(progress.match_index, message.index) + 1
     if _may_send_more(replica, progress, now):
         send_entries(replica, message.sender, now)
 
 
-def advance_commit(replica: Replica) -> None:
-    """Commit the entries that a quorum holds.
+def advance_commit(replica: Replica, now: float) -> None:
+    """Commit the entries that enough voters hold.
 
     An entry of an earlier term is not committed by counting replicas, only
     together with a later entry of the leader's own term.
     """
-    index = compute_quorum_value(
+    index = _find_reached_value(
         replica,
         replica.log.last_index,
         {name: peer.match_index for name, peer in replica.progress.items()},
+        _count_needed_holders(replica, now),
     )
     if replica.log.find_term(index) == replica.hard_state.term:
         commit_up_to(replica, index)
@@ -194,12 +205,41 @@
     :param others: values of the other replicas, by identity; a voter without
         one counts as 0
     """
-    membership = replica.membership
+    return _find_reached_value(replica, own, others, replica.membership.quorum)
+
+
+def _find_reached_value(
+    replica: Replica, own: int, others: dict[str, int], number: int
+) -> int:
+    """Return the greatest value that a number of voters has reached."""
     values = {**others, replica.identity: own}
-    reached = sorted(
-        (values.get(voter, 0) for voter in membership.voters), reverse=True
+    voters = replica.membership.voters
+    reached = sorted((values.get(voter, 0) for voter in voters), reverse=True)
+    return reached[number - 1]
+
+
+def _count_needed_holders(replica: Replica, now: float) -> int:
+    """Return how many voters must hold an entry before it is committed.
+
+    That is a quorum, and with few voters more: the entry must survive the
+    loss of as many disks as are tolerated. Voters that do not respond count
+    as lost already.
+    """
+    membership = replica.membership
+    if replica.dynamic_membership is None:
+        return membership.quorum
+    since = now - replica.timing.election_max
+    responding = sum(
+        voter == replica.identity
+        or (
+            voter in replica.progress
+            and replica.progress[voter].last_response_at >= since
+        )
+        for voter in membership.voters
     )
-    return reached[membership.quorum - 1]
+    lost = len(membership.voters) - responding
+    survivors = replica.dynamic_membership.tolerance - lost + 1
+    return max(membership.quorum, min(responding, survivors))
 
 
 def check_quorum(replica: Replica, now: float) -> None:
@@ -213,6 +253,18 @@
         become_follower(replica, replica.hard_state.term, '', now)
 
 
+def count_missing_voters(replica: Replica, now: float) -> int:
+    """Return how many voters are missing although commands are accepted.
+
+    :param now: time, in seconds
+    :returns: 0 unless this replica is the leader
+    """
+    dynamic_membership = replica.dynamic_membership
+    if dynamic_membership is None or _check_proposal(replica, now) is not None:
+        return 0
+    return max(0, dynamic_membership.voters - len(replica.membership.voters))
+
+
 def compact(replica: Replica, event: Compact) -> None:
     """Replace the entries up to an index by a snapshot.
 
@@ -229,27 +281,35 @@
     replica.rewrite = True
 
 
-def _check_proposal(replica: Replica) -> Refusal | None:
+def _check_proposal(replica: Replica, now: float) -> Refusal | None:
     if replica.role is not Role.LEADER:
         return Refusal.NOT_LEADER
-    if _has_too_few_voters(replica):
+    if _has_too_few_voters(replica, now):
         return Refusal.TOO_FEW_VOTERS
     return None
 
 
-def _has_too_few_voters(replica: Replica) -> bool:
-    """Tell whether an accepted command might not survive lost disks.
+def _has_too_few_voters(replica: Replica, now: float) -> bool:
+    """Tell whether commands must wait for further voters.
 
     With dynamic membership, the first command needs the full number of
-    voters. Later ones need a quorum larger than the number of disks that may
-    be lost, so that commands are still accepted while a voter is replaced.
+    voters. Later ones need more voters than disks that may be lost, so that
+    commands are still accepted while a voter is replaced. When no further
+    voter has come for some time, there are no more instances with a disk, and
+    commands are accepted by those that there are.
     """
-    membership = replica.membership
-    if replica.dynamic_membership is None:
-        return len(membership.voters) <= len(replica.instances) // 2
+    voters = len(replica.membership.voters)
+    dynamic_membership = replica.dynamic_membership
+    if dynamic_membership is None:
+        return voters <= len(replica.instances) // 2
+    tolerance = dynamic_membership.tolerance
+    needed = tolerance + 1
     if not _has_command(replica):
-        return len(membership.voters) < replica.dynamic_membership.voters
-    return membership.quorum <= replica.dynamic_membership.tolerance
+        needed = dynamic_membership.voters
+    if voters >= needed:
+        return False
+    wait = MORE_VOTERS_WAIT if voters > tolerance else TOLERANT_VOTERS_WAIT
+    return now - replica.voters_changed_at < wait
 
 
 def _has_command(replica: Replica) -> bool:
@@ -261,7 +321,13 @@
 
 
 def _update_progress(replica: Replica, now: float) -> None:
-    """Keep the progress of exactly the present other members."""
+    """Keep the progress of exactly the present other members.
+
+    Notes when the voters have changed, too.
+    """
+    if replica.counted_voters != replica.membership.voters:
+        replica.counted_voters = replica.membership.voters
+        replica.voters_changed_at = now
     former = replica.progress
     others = [
         member
@@ -334,6 +400,8 @@
     if replica.role is not Role.FOLLOWER or replica.leader != message.sender:
         become_follower(replica, message.term, message.sender, now)
     replica.leader_contact_at = now
+    replica.join_number += 1
+    replica.lost_voters.clear()
     reset_election_timeout(replica, now)
 
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -162,6 +162,14 @@
 JOURNAL_RESUMED = Event(
     4007, Level.WARNING, 'The disk of the journal has room again.'
 )
+VOTERS_MISSING = Event(
+    4008,
+    Level.WARNING,
+    'Changes are accepted with fewer voters than the fault tolerance wants.',
+    'Run control on more instances with a disk. As long as there are more '
+    'voters than disks that may be lost, each change waits for more of them; '
+    'with fewer, the tolerated loss of disks can destroy accepted changes.',
+)
 CONTROL_CHANGE_ACCEPTED = Event(
     4051, Level.INFO, 'A change of the configuration was accepted.'
 )
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from contextlib import suppress
 import time
 from typing import Any
@@ -32,6 +33,7 @@
 from pistachiohook_core.consensus.replica import create_replica
 from pistachiohook_core.consensus.replica import Role
 from pistachiohook_core.consensus.replica import Timing
+from pistachiohook_core.consensus.replication import count_missing_voters
 from pistachiohook_core.events import JOURNAL_BLOCKED
 from pistachiohook_core.events import JOURNAL_CREATED
 from pistachiohook_core.events import JOURNAL_FAILED
@@ -39,6 +41,7 @@
 from pistachiohook_core.events import LEADER_CHANGED
 from pistachiohook_core.events import REPLICA_RETIRED
 from pistachiohook_core.events import REPLICA_STARTED
+from pistachiohook_core.events import VOTERS_MISSING
 from pistachiohook_core.failures import Failure
 from pistachiohook_core.storage.journal import JOURNAL
 from pistachiohook_core.storage.journal import Journal
@@ -140,6 +143,7 @@
     :param dynamic_membership: rules by which running instances become members
         and leave; ``None`` when the configured instances vote
     :param clock: monotonic clock, in seconds
+    :param counts: counters of the process by name
     :param failure: why the replica has stopped; ``None`` until then
     :param applied: index of the last applied entry
     """
@@ -155,6 +159,7 @@
     timing: Timing = attrs.field(factory=Timing)
     dynamic_membership: DynamicMembership | None = None
     clock: Callable[[], float] = time.monotonic
+    counts: Counter[str] = attrs.field(factory=Counter)
     failure: Failure | None = None
     applied: int = 0
     _replica: Replica | None = None
@@ -164,6 +169,7 @@
     _blocked: bool = False
     _ticked_at: float = float('-inf')
     _reported_leader: str = ''
+    _reported_missing: int = 0
     _last_request: int = 0
     _event_queue: asyncio.Queue[Event] = attrs.field(
         factory=lambda: asyncio.Queue(EVENT_QUEUE_SIZE)
@@ -335,6 +341,21 @@
                 leader=self.leader,
                 term=self._replica.hard_state.term,
             )
+        self._report_missing_voters(self._replica)
+
+    def _report_missing_voters(self, replica: Replica) -> None:
+        missing = count_missing_voters(replica, self.clock())
+        if missing == self._reported_missing:
+            return
+        self._reported_missing = missing
+        self.counts['voters_missing'] = missing
+        if missing and replica.dynamic_membership is not None:
+            self.report(
+                VOTERS_MISSING,
+                voters=len(replica.membership.voters),
+                wanted=replica.dynamic_membership.voters,
+                tolerance=replica.dynamic_membership.tolerance,
+            )
 
     async def _perform(self, action: Action) -> None:
         match action:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -50,6 +50,7 @@
 
 if TYPE_CHECKING:
     from pistachiohook_core.addresses import Address
+    from pistachiohook_core.metrics import Metrics
     from pistachiohook_core.passthrough.routes import RouteSet
     from pistachiohook_core.storage.files import FileOperations
 
@@ -236,6 +237,7 @@
     settings: ControlSettings,
     keys: LinkKeys,
     supervisor: Supervisor,
+    metrics: Metrics,
     report: Report,
 ) -> ControlRole:
     """Open the files and sockets of a control instance and start its tasks.
@@ -243,6 +245,7 @@
     :param settings: settings of the control instance
     :param keys: keys of the links between control instances
     :param supervisor: runs the tasks and restarts those that fail
+    :param metrics: metrics of the process
     :param report: logs an event
     :returns: state of the running control instance
     :raises OSError: when an address or a file can't be used
@@ -268,6 +271,7 @@
             settings.may_bootstrap,
             durable=bool(settings.data_folder),
         ),
+        counts=metrics.counts,
     )
     proposer = Proposer(name, replicator, peers.send)
     link = DatagramSocket(node.link, report)
--- a/tests/core/consensus/dynamic_membership.feature
+++ b/tests/core/consensus/dynamic_membership.feature
@@ -42,6 +42,65 @@
     When the others start
     Then a change is accepted within 8 seconds
 
+  Scenario Outline: <disks> disks serve a fault tolerance of <tolerance> as well as they can
+    Given <disks> instances with disks and a fault tolerance of <tolerance>
+    Then a change is accepted within 30 seconds
+    When a change is accepted, all instances are killed, and <lost> voters that have it restart with empty disks, the others with their own
+    Then within 45 seconds a leader accepts another change
+    And within 30 seconds every running instance is a member
+    And every running instance holds all accepted changes
+
+    Examples: enough disks for a quorum after the loss
+      | disks | tolerance | lost |
+      | 1     | 0         | 0    |
+      | 3     | 1         | 1    |
+      | 5     | 2         | 2    |
+      | 7     | 3         | 3    |
+      | 7     | 2         | 2    |
+
+    Examples: more disks than may be lost, but no quorum after the loss
+      | disks | tolerance | lost |
+      | 2     | 1         | 1    |
+      | 3     | 2         | 2    |
+      | 4     | 2         | 2    |
+      | 4     | 3         | 3    |
+      | 5     | 3         | 3    |
+      | 6     | 3         | 3    |
+
+    Examples: so few disks that no change can survive the loss
+      | disks | tolerance | lost |
+      | 1     | 1         | 0    |
+      | 1     | 3         | 0    |
+      | 2     | 2         | 0    |
+      | 2     | 2         | 1    |
+      | 3     | 3         | 2    |
+
+  Scenario: Without a quorum, a cluster that has lost more disks than tolerated stays without a leader
+    Given 3 instances with disks and a fault tolerance of 1
+    Then a change is accepted within 30 seconds
+    When a change is accepted, all instances are killed, and 2 voters that have it restart with empty disks, the others with their own
+    Then there is no leader after 30 seconds
+
+  Scenario: With few disks, a change waits for all voters that respond
+    Given 3 instances with disks and a fault tolerance of 2
+    Then a change is accepted within 30 seconds
+    When a voter is killed
+    Then a change is accepted within 8 seconds
+    And all voters that run hold all accepted changes
+    When another voter is cut off for 1 second while a change is proposed
+    Then that change is not accepted meanwhile
+    When the network heals
+    Then a change is accepted within 8 seconds
+
+  # A response to the question which identity an instance has may be old: the
+  # voter may have joined the cluster after it.
+  Scenario: A voter is not taken for lost because of an old response
+    Given 3 instances with disks and a fault tolerance of 2
+    Then a change is accepted within 30 seconds
+    When the leader's instances answer an old join request under an earlier identity
+    And all other voters are cut off
+    Then the leader steps down and is not elected again within 20 seconds
+
   Scenario: The first change is accepted only when it survives the loss of a voter
     Given 3 instances with 3 seeds and a fault tolerance of 1, of which 3 run
     When the last voter is slow to join, the first change is accepted and the leader is killed at once
--- a/tests/core/consensus/steps/dynamic_membership_steps.py
+++ b/tests/core/consensus/steps/dynamic_membership_steps.py
@@ -5,6 +5,10 @@
 from behave import given
 from behave import then
 from behave import when
+from pistachiohook_core.consensus.entries import make_identity
+from pistachiohook_core.consensus.events import Received
+from pistachiohook_core.consensus.messages import CONSENSUS_CODEC
+from pistachiohook_core.consensus.messages import JoinResponse
 from pistachiohook_core.consensus.replica import Role
 from virtual_cluster import Cluster
 from virtual_cluster import TIMING
@@ -82,6 +86,93 @@
         context.cluster.run(5)
 
 
+@given('{disks:d} instances with disks and a fault tolerance of {tolerance:d}')
+def start_with_disks(context, disks, tolerance):
+    context.cluster = build_cluster(disks, tolerance)
+    # A deployment's settings name at most three of its instances.
+    context.cluster.seeds = tuple(NAMES[: min(3, disks)])
+    for name in NAMES[:disks]:
+        context.cluster.start(name)
+
+
+@when('a voter is killed')
+def kill_follower(context):
+    context.cluster.kill(find_followers(context.cluster)[0])
+    context.cluster.run(4)
+
+
+def find_followers(cluster):
+    leader = cluster.find_leader()
+    return [name for name in list_voting(cluster) if name != leader]
+
+
+@then('all voters that run hold all accepted changes')
+def check_voters_hold(context):
+    cluster = context.cluster
+    index = max(index for index, _ in cluster.accepted.values())
+    for name in list_voting(cluster):
+        log = cluster.instances[name].process.replica.log
+        assert log.last_index >= index, name
+
+
+@when('another voter is cut off for 1 second while a change is proposed')
+def cut_off_and_propose(context):
+    cluster = context.cluster
+    cluster.split(find_followers(cluster)[0])
+    context.number = cluster.propose(cluster.find_leader())
+    cluster.run(1)
+
+
+@then('that change is not accepted meanwhile')
+def check_not_accepted(context):
+    assert context.number not in context.cluster.accepted
+
+
+@when(
+    "the leader's instances answer an old join request under an earlier"
+    ' identity'
+)
+def answer_old_request(context):
+    cluster = context.cluster
+    context.leader = cluster.find_leader()
+    replica = cluster.instances[context.leader].process.replica
+    for name in find_followers(cluster):
+        message = JoinResponse(
+            '',
+            make_identity(name, '0'),
+            replica.identity,
+            replica.hard_state.term,
+            blank=True,
+            retired=False,
+            number=replica.join_number - 1,
+        )
+        data = CONSENSUS_CODEC.encode(message)
+        context.old_responses = getattr(context, 'old_responses', [])
+        context.old_responses.append((name, context.leader, data))
+
+
+@when('all other voters are cut off')
+def cut_off_others(context):
+    context.cluster.split(context.leader)
+
+
+@then(
+    'the leader steps down and is not elected again within {seconds:d} seconds'
+)
+def check_not_elected(context, seconds):
+    cluster = context.cluster
+    cluster.run(4)
+    replica = cluster.instances[context.leader].process.replica
+    assert replica.role is not Role.LEADER
+    end = cluster.now + seconds
+    while cluster.now < end:
+        for _, target, data in context.old_responses:
+            message = CONSENSUS_CODEC.decode(data, target).unwrap()
+            cluster.feed(target, Received(message))
+        cluster.run(0.5)
+        assert replica.role is not Role.LEADER
+
+
 @when('the others start')
 def start_others(context):
     for name in context.later:
--- a/tests/daemon/replicator/replicator.feature
+++ b/tests/daemon/replicator/replicator.feature
@@ -110,6 +110,12 @@
     When all replicators are stopped and started
     Then every instance holds the commands after a read barrier
 
+  Scenario: Fewer disks than the fault tolerance wants are reported once
+    Given 2 replicators with a fault tolerance of 1
+    Then within 15 s a command is accepted
+    And event 4008 was logged 1 time, with 2 of 3 voters
+    And the counter of missing voters is 1
+
   Scenario: An instance that lost its data folder rejoins with a new identity
     Given 3 replicators that all vote
     When 50 commands are proposed to the leader concurrently
--- a/tests/daemon/replicator/steps/replicator_steps.py
+++ b/tests/daemon/replicator/steps/replicator_steps.py
@@ -16,6 +16,7 @@
 import msgspec
 from pistachiohook_core.consensus.entries import parse_instance_name
 from pistachiohook_core.consensus.messages import CONSENSUS_CODEC
+from pistachiohook_core.consensus.replica import DynamicMembership
 from pistachiohook_core.consensus.replica import Timing
 from pistachiohook_core.storage.journal import Journal
 from pistachiohook_core.storage.journal import load_journal
@@ -52,6 +53,12 @@
         self.commands[:] = msgspec.msgpack.decode(state, type=list[bytes])
 
 
+@given('{size:d} replicators with a fault tolerance of {tolerance:d}')
+def start_tolerant(context, size, tolerance):
+    context.dynamic_membership = DynamicMembership(tolerance, True)
+    start(context, size)
+
+
 @given('{size:d} replicators that all vote')
 def start(context, size):
     context.loop = asyncio.new_event_loop()
@@ -61,7 +68,7 @@
     context.isolated = set()
     context.folder_ids = count(1)
     context.proposed = []
-    context.events = []
+    context.events, context.fields = [], []
     context.accepted = []
     context.full = {}
     context.add_cleanup(shutil.rmtree, context.root)
@@ -116,15 +123,55 @@
             lambda: msgspec.msgpack.encode(running.commands),
         ),
         send=lambda peer, message: deliver(context, name, peer, message),
-        report=lambda event, **_: context.events.append((name, event)),
+        report=lambda event, **fields: record_event(
+            context, name, event, fields
+        ),
         folder_id=str(next(context.folder_ids)),
         seed=ord(name),
         timing=TIMING,
+        dynamic_membership=getattr(context, 'dynamic_membership', None),
     )
     running.task = asyncio.ensure_future(running.replicator.run())
     context.running[name] = running
 
 
+def record_event(context, name, event, fields):
+    context.events.append((name, event))
+    context.fields.append((event.number, fields))
+
+
+@then('within {seconds:d} s a command is accepted')
+def accept_within(context, seconds):
+    async def propose():
+        while True:
+            for running in context.running.values():
+                result = await running.replicator.propose(b'one')
+                if isinstance(result, Success):
+                    return
+            await asyncio.sleep(0.05)
+
+    context.loop.run_until_complete(asyncio.wait_for(propose(), seconds))
+
+
+@then(
+    'event {number:d} was logged {times:d} time, with {voters:d} of'
+    ' {wanted:d} voters'
+)
+def check_voters_logged(context, number, times, voters, wanted):
+    logged = [fields for event, fields in context.fields if event == number]
+    assert len(logged) == times, logged
+    assert (logged[0]['voters'], logged[0]['wanted']) == (voters, wanted)
+
+
+@then('the counter of missing voters is {number:d}')
+def check_counter(context, number):
+    counts = [
+        running.replicator.counts['voters_missing']
+        for running in context.running.values()
+    ]
+    assert max(counts) == number, counts
+
+
 def deliver(context, source, target, message):
     if target in context.running and not context.isolated & {source, target}:
         data = CONSENSUS_CODEC.encode(message)
--- a/tests/platform/loopback.py
+++ b/tests/platform/loopback.py
@@ -255,7 +255,9 @@
             1,
             True,
         )
-        role = start_control(settings, KEYS, supervisor, self.record_event)
+        role = start_control(
+            settings, KEYS, supervisor, Metrics(), self.record_event
+        )
         self.operators[name] = find_address()
         serve_operator(self.operators[name], role, self.record_event)
         self.controls[name] = role
