Import the modules of a role from one file that the build writes

Cause: a start looks for 275 to 308 modules in the file system, at each of some 340 places, before it serves anything. On a sixth of a core this is part of the recovery after all processes have stopped.

Change: the build writes the code of all modules of a role into one file, from which they are imported. The file is checked like Python's own caches, and for the place that it was written at; without it modules are imported as before. Reading is shared with the file of compiled methods.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 .PHONY: measure-control
 .PHONY: measure-crest
 .PHONY: measure-flows
+.PHONY: measure-start
 .PHONY: measure-steering
 .PHONY: setup
 .PHONY: soak
@@ -80,6 +81,9 @@
 	$(BIN)/ruff format packages platform tests tools
 	$(BIN)/ruff check --fix packages platform tests tools
 
+measure-start: setup
+	$(BIN)/python tools/measure_start.py
+
 measure-steering: setup
 	$(BIN)/python tools/measure_steering.py
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -66,7 +66,7 @@
 GENERATED_UNUSED = Event(
     1010,
     Level.WARNING,
-    'The cache of compiled methods is not used; the start took longer.',
+    'A file with code of the build is not used; the start took longer.',
     'Run the build with the Python version that runs the processes.',
 )
 BALANCER_UNHEALTHY = Event(
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/generated.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/generated.py
@@ -2,17 +2,13 @@
 
 attrs generates and compiles the methods of each class at every start, which
 takes a large part of the start time and so delays the recovery after all
-processes have stopped. The cache is checked in the same way as Python's cache
-of compiled modules.
+processes have stopped.
 """
 
 from __future__ import annotations
 
 from functools import partial
 from importlib import import_module
-from importlib.util import MAGIC_NUMBER
-from importlib.util import source_hash
-import marshal
 from pathlib import Path
 import re
 import sys
@@ -20,6 +16,9 @@
 
 from attr import _make
 
+from .build_files import read_build_file
+from .build_files import write_build_file
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
@@ -31,9 +30,6 @@
     #: A function with the signature of the builtin ``compile``.
     CompileFunction = Callable[[str, str, str], CodeType]
 
-#: Length of the checksum that follows Python's magic number, in bytes.
-CHECKSUM_LENGTH = 8
-
 #: Line with the number that attrs mixes into the hashes of a class. It differs
 #: between processes and may be any number, so that it isn't part of the key.
 HASH_SALT = re.compile(r'^ +-?\d+,$', re.MULTILINE)
@@ -49,18 +45,12 @@
     :returns: why the file is not used; empty when it is used or missing
     """
     try:
-        data = path.read_bytes()
+        codes = read_build_file(str(path))
     except FileNotFoundError:
         return ''
-    except OSError as error:
+    except (OSError, ValueError) as error:
         return f'{path}: {error}'
-    length = len(MAGIC_NUMBER)
-    body = data[length + CHECKSUM_LENGTH :]
-    if data[:length] != MAGIC_NUMBER:
-        return f'{path}: written by another version of Python'
-    if data[length : length + CHECKSUM_LENGTH] != source_hash(body):
-        return f'{path}: damaged; the checksum does not match'
-    _replace_compile(partial(_find_code, marshal.loads(body)))
+    _replace_compile(partial(_find_code, codes))
     return ''
 
 
@@ -75,8 +65,7 @@
     _replace_compile(partial(_record_code, codes))
     for name in modules:
         import_module(name)
-    body = marshal.dumps(codes)
-    path.write_bytes(MAGIC_NUMBER + source_hash(body) + body)
+    write_build_file(str(path), codes)
     return len(codes)
 
 
