Answer the calls in progress before a control instance exits

Cause: at SIGTERM a control instance of pass-through services returned at once, and its process ended with operators' calls and balancers' fetches in progress: cut off without an answer.

Change: a server that finishes takes over the connections that the kernel has accepted, then refuses new ones, and answers what it has accepted. A control instance waits for that, up to 3 s or half of the grace period.

A wait of 1 s was too short: an attempt that is forwarded to the leader and lost takes 2 s.

The loopback tests now state the users' grace of 6 s in place of 1 s, which bounds the wait.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/endpoints.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/endpoints.py
@@ -15,10 +15,10 @@
 
     from pistachiohook_core.addresses import Address
     from pistachiohook_core.metrics import Metrics
-    from tornado.httpserver import HTTPServer
 
     from .logs import Report
     from .serving import HttpRequest
+    from .serving import RunningServer
 
 
 @attrs.frozen
@@ -38,7 +38,7 @@
     metrics: Metrics,
     find_health: Callable[[], Health],
     report: Report,
-) -> HTTPServer:
+) -> RunningServer:
     """Serve ``/health``, ``/metrics`` and ``/histograms``.
 
     ``/health`` answers with status 503 while the process is unhealthy.
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -36,6 +36,7 @@
 from ..control.disk import create_memory_files
 from ..control.disk import open_data_folder
 from ..control.peers import connect_peers_on_demand
+from ..control.proposals import ANSWER_TIMEOUT
 from ..control.proposals import Proposer
 from ..control.replicator import Replicator
 from ..control.replicator import StateMachine
@@ -57,6 +58,7 @@
     from ..keys import LinkKeys
     from ..logs import Report
     from ..serving import HttpRequest
+    from ..serving import RunningServer
     from ..supervisor import Supervisor
     from .settings import ControlSettings
     from .transport import SendMessage
@@ -69,6 +71,11 @@
 #: second, for the same reason.
 READ_TIMEOUT = 0.9
 
+#: Longest wait for the calls in progress at a shutdown, in seconds: the
+#: longest that a change takes, whose last attempt may begin at the end of its
+#: retries, and time to send the answer.
+CALLS_TIMEOUT = PROPOSE_RETRY_DURATION + ANSWER_TIMEOUT + 0.3
+
 #: Largest age of a quorum confirmation that a message states, in seconds; it
 #: stands for all larger ones, because nodes use only recent confirmations.
 REPORTED_AGE_MAX = 3600.0
@@ -86,6 +93,7 @@
     :param finder: known control instances
     :param send: sends a message
     :param report: logs an event
+    :param servers: HTTP servers whose calls in progress a shutdown answers
     """
 
     settings: ControlSettings
@@ -96,6 +104,7 @@
     finder: Finder
     send: SendMessage
     report: Report
+    servers: list[RunningServer] = attrs.field(factory=list)
 
     def find_health(self) -> Health:
         """Tell whether a leader is known, so that changes can be accepted."""
@@ -103,7 +112,15 @@
         return Health(bool(leader), f'leader {leader or "not known"}')
 
     async def shut_down(self) -> None:
-        """Return at once: other instances keep accepted changes on disk."""
+        """Accept no more calls, and answer those in progress.
+
+        An operator whose call was cut off would not know its outcome. The
+        wait is limited to half of the longest duration of a shutdown.
+        """
+        timeout = min(CALLS_TIMEOUT, self.settings.node.grace / 2)
+        await asyncio.gather(
+            *(server.finish(timeout) for server in self.servers)
+        )
 
     async def replace_routes(
         self, routes: RouteSet, document: bytes
@@ -293,7 +310,9 @@
             body=route_state.current.routes, content_type=BINARY
         )
 
-    serve_http(settings.routes, {'GET /routes': show_routes}, report)
+    role.servers.append(
+        serve_http(settings.routes, {'GET /routes': show_routes}, report)
+    )
     receive = build_receiver(role.handle_message, report)
     supervisor.supervise('replicator', replicator.run)
     supervisor.supervise(
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/serving.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/serving.py
@@ -28,6 +28,14 @@
 
     from .logs import Report
 
+#: Rounds of the event loop in which a server that finishes still accepts
+#: connections: one to poll the socket, and one to handle it.
+ACCEPT_ROUNDS = 2
+
+#: Time for which a server that finishes waits for the request of a connection
+#: that it has accepted, in seconds: its client sends it at once.
+REQUEST_WAIT = 0.1
+
 #: Content types of responses.
 JSON = 'application/json'
 BINARY = 'application/octet-stream'
@@ -60,6 +68,41 @@
     content_type: str = TEXT
 
 
+@attrs.define
+class RunningServer:
+    """A server that listens, and the requests that it is answering."""
+
+    _server: HTTPServer
+    _tasks: set[asyncio.Task[None]]
+
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that are being answered."""
+        return len(self._tasks)
+
+    def stop(self) -> None:
+        """Accept no more connections."""
+        self._server.stop()
+
+    async def finish(self, timeout: float) -> None:
+        """Accept no more connections, and answer the accepted requests.
+
+        :param timeout: longest wait for the answers, in seconds
+        """
+        end = asyncio.get_running_loop().time() + timeout
+        # Closing the socket would reset the connections that the kernel has
+        # accepted; the event loop takes them over first.
+        for _ in range(ACCEPT_ROUNDS):
+            await asyncio.sleep(0)
+        self.stop()
+        await asyncio.sleep(min(REQUEST_WAIT, timeout))
+        while self._tasks:
+            remaining = end - asyncio.get_running_loop().time()
+            _, pending = await asyncio.wait(self._tasks, timeout=remaining)
+            if pending:
+                return
+
+
 if TYPE_CHECKING:
     #: Handles a request; may be a coroutine function.
     Handler = Callable[[HttpRequest], HttpResponse | Awaitable[HttpResponse]]
@@ -72,7 +115,7 @@
 
 def serve_http(
     address: Address, routes: Mapping[str, Handler], report: Report
-) -> HTTPServer:
+) -> RunningServer:
     """Start a server; requests without a route are answered with 404.
 
     :param address: address to listen on
@@ -91,7 +134,7 @@
 
     server = HTTPServer(respond)
     server.add_sockets(bind_sockets(address.port, address.host))
-    return server
+    return RunningServer(server, tasks)
 
 
 async def _respond(
--- a/tests/daemon/serving/serving.feature
+++ b/tests/daemon/serving/serving.feature
@@ -24,3 +24,15 @@
     When 20 connections send random bytes
     And GET /plain is requested
     Then the status is 200 and the body "plain"
+
+  Scenario: A server that finishes answers what it has accepted and accepts no more
+    Given a server with a route that is answered after 0.3 s
+    When 3 requests are in progress, 2 connections have sent nothing yet, and the server finishes within 2 s
+    And the 2 connections send their requests 0.02 s later
+    Then all 5 requests are answered before the server has finished
+    And new connections are refused
+
+  Scenario: A server that finishes does not wait longer than it is told
+    Given a server with a route that is answered after 30 s
+    When 3 requests are in progress, 0 connections have sent nothing yet, and the server finishes within 0.2 s
+    Then the server has finished within 1 s
--- a/tests/daemon/serving/steps/serving_steps.py
+++ b/tests/daemon/serving/steps/serving_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from random import Random
 import socket
 
@@ -14,6 +15,9 @@
 from pistachiohook_daemon.serving import serve_http
 from tornado.httpclient import AsyncHTTPClient
 
+#: Request for the route that is answered late.
+REQUEST = b'GET /slow HTTP/1.1\r\nHost: test\r\n\r\n'
+
 #: Timeout for requests and connections, in seconds.
 TIMEOUT = 30.0
 
@@ -98,3 +102,96 @@
             writer.close()
 
     context.loop.run_until_complete(asyncio.wait_for(send(), TIMEOUT))
+
+
+@given('a server with a route that is answered after {seconds:g} s')
+def start_slow(context, seconds):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.started = 0
+
+    async def answer(_):
+        context.started += 1
+        await asyncio.sleep(seconds)
+        return HttpResponse(body=b'late')
+
+    async def serve():
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', 0))
+            address = Address(*probe.getsockname())
+        return address, serve_http(
+            address, {'GET /slow': answer}, lambda *_, **__: None
+        )
+
+    context.address, context.server = context.loop.run_until_complete(serve())
+
+
+@when(
+    '{number:d} requests are in progress, {silent:d} connections have sent'
+    ' nothing yet, and the server finishes within {seconds:g} s'
+)
+def finish_during_requests(context, number, silent, seconds):
+    async def finish():
+        connections = [
+            await asyncio.open_connection(
+                context.address.host, context.address.port
+            )
+            for _ in range(number + silent)
+        ]
+        for _, writer in connections[:number]:
+            writer.write(REQUEST)
+        while context.started < number:
+            await asyncio.sleep(0.01)
+        context.connections = connections
+        context.silent = connections[number:]
+        context.answers = [
+            asyncio.ensure_future(reader.readuntil(b'late'))
+            for reader, _ in connections
+        ]
+        context.finishing = asyncio.ensure_future(
+            context.server.finish(seconds)
+        )
+        context.began_at = context.loop.time()
+        await asyncio.sleep(0)
+
+    context.loop.run_until_complete(finish())
+
+
+@when('the {number:d} connections send their requests {seconds:g} s later')
+def send_later(context, number, seconds):
+    async def send():
+        await asyncio.sleep(seconds)
+        assert len(context.silent) == number
+        for _, writer in context.silent:
+            writer.write(REQUEST)
+
+    context.loop.run_until_complete(send())
+
+
+@then('all {number:d} requests are answered before the server has finished')
+def check_all_answered(context, number):
+    async def wait():
+        await context.finishing
+        # The answers are in the sockets' buffers now.
+        await asyncio.sleep(0.02)
+        return [answer for answer in context.answers if answer.done()]
+
+    done = context.loop.run_until_complete(asyncio.wait_for(wait(), TIMEOUT))
+    assert len(done) == number, done
+    assert all(answer.result().endswith(b'late') for answer in done)
+
+
+@then('new connections are refused')
+def check_connections_refused(context):
+    with socket.socket() as probe:
+        code = probe.connect_ex((context.address.host, context.address.port))
+    assert code == errno.ECONNREFUSED, code
+
+
+@then('the server has finished within {seconds:g} s')
+def check_finished(context, seconds):
+    context.loop.run_until_complete(
+        asyncio.wait_for(context.finishing, seconds)
+    )
+    for answer in context.answers:
+        answer.cancel()
--- a/tests/platform/loopback.py
+++ b/tests/platform/loopback.py
@@ -232,7 +232,7 @@
         self.events.append((event.number, fields))
 
     def make_node_settings(self, name, link):
-        return NodeSettings(name, 'x', link, self.seeds, find_address(), 1.0)
+        return NodeSettings(name, 'x', link, self.seeds, find_address(), 6.0)
 
     async def start_controls(self, names):
         self.seeds = tuple(find_address(socket.SOCK_DGRAM) for _ in names)
--- a/tests/platform/path.feature
+++ b/tests/platform/path.feature
@@ -57,3 +57,16 @@
     Then every balancer becomes ready
     When version 5 removes the route
     Then new calls through each balancer are reset
+
+  # The operator's calls end when the process does, unless it waits for them.
+  Scenario Outline: Calls in progress are answered before <which> control instance that is stopped exits
+    When the operator puts version 3 and the targets send heartbeats
+    Then every balancer becomes ready
+    When <which> control instance is told to stop while 4 changes and 4 reads are in progress there
+    Then each of these calls was answered before the shutdown ended
+    And new connections to its operators' address are refused
+
+    Examples:
+      | which       |
+      | the leading |
+      | a following |
--- a/tests/platform/steps/path_steps.py
+++ b/tests/platform/steps/path_steps.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import copy
+import errno
 import json
+import socket
+from types import SimpleNamespace
 
 from behave import given
 from behave import then
@@ -235,6 +238,71 @@
     context.stopped = leader
 
 
+def make_request(line, body=b''):
+    head = f'{line} HTTP/1.1\r\nHost: test\r\nContent-Length: {len(body)}'
+    return f'{head}\r\n\r\n'.encode() + body
+
+
+@when(
+    '{which} control instance is told to stop while {changes:d} changes and'
+    ' {reads:d} reads are in progress there'
+)
+def stop_during_calls(context, which, changes, reads):
+    platform = context.platform
+    leads = which == 'the leading'
+    name, role = next(
+        (name, role)
+        for name, role in platform.controls.items()
+        if role.replicator.is_leader == leads
+    )
+    address = context.address = platform.operators[name]
+    started = asyncio.Event()
+    propose = role.proposer.propose
+
+    async def propose_noted(*arguments):
+        started.set()
+        return await propose(*arguments)
+
+    role.proposer = SimpleNamespace(propose=propose_noted)
+
+    async def stop():
+        requests = [
+            make_request('POST /Config.Put', encode_route_set(10 + number))
+            for number in range(changes)
+        ] + [make_request('GET /Config.Get')] * reads
+        connections = [
+            await asyncio.open_connection(address.host, address.port)
+            for _ in requests
+        ]
+        for (_, writer), request in zip(connections, requests, strict=True):
+            writer.write(request)
+        await started.wait()
+        await role.shut_down()
+        # The process would exit here; what it has sent still arrives.
+        context.unanswered = sum(server.in_progress for server in role.servers)
+        context.status_lines = [
+            (await reader.readline()).decode() for reader, _ in connections
+        ]
+
+    platform.call(stop())
+    context.number = changes + reads
+
+
+@then('each of these calls was answered before the shutdown ended')
+def check_calls_answered(context):
+    assert not context.unanswered, context.unanswered
+    codes = [line.split()[1:2] for line in context.status_lines]
+    assert len(codes) == context.number
+    assert all(code in (['200'], ['503']) for code in codes), codes
+
+
+@then("new connections to its operators' address are refused")
+def check_refused_connections(context):
+    with socket.socket() as probe:
+        code = probe.connect_ex((context.address.host, context.address.port))
+    assert code == errno.ECONNREFUSED, code
+
+
 @then(
     'version {version:d} is acknowledged by another instance within the'
     " test's timeout"
