Keep lists and hellos between zones bounded while control is disturbed

When the own zone's instances confirm no quorum, each of 200 nodes asked all 15 control instances for complete lists up to ten times a second; balancers then counted as direct ones of each instance, which sent all of them to all others; and each hello of a survey changed the number of the lists, so that every agent was sent them again.

Change: without a quorum a node asks up to 6 instances at a time, in turn, and one that answers lists the nodes. A control instance relays the balancers of its zone, and those of zones without one. What is listed already does not change the lists.

Before: 5 of the new scenarios of discovery.feature failed. After: all pass. With up to 6 control instances a node asks the same ones as before.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
@@ -4,6 +4,7 @@
 
 from itertools import cycle
 from itertools import islice
+from operator import itemgetter
 import secrets
 from typing import TYPE_CHECKING
 from typing import TypeVar
@@ -72,6 +73,15 @@
 #: does not grow with their number.
 SURVEY_SIZE = 2
 
+#: Control instances that are sent a hello at a time while none of the own zone
+#: confirms a quorum: all of a small cluster, and of a larger one those of the
+#: own zone and some others in turn. When control is disturbed, all nodes do so
+#: at the same time.
+UNCONFIRMED_SIZE = 6
+
+#: Control instances of the own zone among these; at least one more is asked.
+UNCONFIRMED_LOCAL_SIZE = 3
+
 #: Bits of the number of lists that count their changes; those above tell the
 #: runs of a control instance apart.
 LISTS_BITS = 32
@@ -94,26 +104,41 @@
 
     def receive_hello(self, hello: Hello, now: float) -> None:
         """Register the sender of a hello and the balancers that it lists."""
-        size = self._size
         if hello.role == BALANCER:
-            self._balancers[hello.node] = now
+            self._register(self._balancers, (hello.node,), now)
         elif hello.role == CONTROL and hello.node != self.node:
-            self._controls[hello.node] = now
-            self._relayed.update(dict.fromkeys(hello.balancers, now))
-        if self._size != size:
-            self._lists += 1
+            self._register(self._controls, (hello.node,), now)
+            self._register(self._relayed, hello.balancers, now)
 
     def expire(self, now: float) -> None:
         """Remove nodes whose hellos have stopped."""
-        size = self._size
-        for nodes in (self._balancers, self._relayed, self._controls):
-            _drop_older(nodes, now - NODE_TIMEOUT)
-        if self._size != size:
+        removed = [
+            *_drop_older(self._balancers, now - NODE_TIMEOUT),
+            *_drop_older(self._relayed, now - NODE_TIMEOUT),
+            *_drop_older(self._controls, now - NODE_TIMEOUT),
+        ]
+        if not all(map(self._is_listed, removed)):
             self._lists += 1
 
-    @property
-    def _size(self) -> int:
-        return len(self._balancers) + len(self._relayed) + len(self._controls)
+    def _register(
+        self, known: dict[Node, float], nodes: Iterable[Node], now: float
+    ) -> None:
+        """Note when nodes were heard; new ones change the lists.
+
+        A balancer that is listed already does not: it surveys this instance,
+        and its own zone's instance has relayed it.
+        """
+        for node in nodes:
+            if not self._is_listed(node):
+                self._lists += 1
+            known[node] = now
+
+    def _is_listed(self, node: Node) -> bool:
+        return (
+            node in self._balancers
+            or node in self._relayed
+            or node in self._controls
+        )
 
     def number_lists(self, hello: Hello) -> int:
         """Return the number of the lists for an answer; 0 for a brief one."""
@@ -131,9 +156,19 @@
         balancers = self.list_balancers() if hello.role == AGENT else ()
         return self.list_controls(), balancers
 
-    def list_direct_balancers(self) -> tuple[Node, ...]:
-        """Return the balancers that send their hellos to this instance."""
-        return tuple(self._balancers)
+    def list_relayed_balancers(self) -> tuple[Node, ...]:
+        """Return the balancers that this instance lists to the others.
+
+        These are the ones of its zone that send it hellos, and those of zones
+        without a control instance. The others are relayed by the instances of
+        their own zones.
+        """
+        zones = {control.zone for control in self._controls}
+        return tuple(
+            balancer
+            for balancer in self._balancers
+            if balancer.zone == self.node.zone or balancer.zone not in zones
+        )
 
     def list_balancers(self) -> tuple[Node, ...]:
         """Return the balancers that are known to any control instance."""
@@ -193,27 +228,48 @@
 
         This is one instance of the own zone, best with a disk, while any there
         answers and confirms a quorum. At every :data:`SURVEY_INTERVAL`, some
-        other instances are added, in turn. Otherwise they are all known
-        instances.
+        other instances are added, in turn. Otherwise they are up to
+        :data:`UNCONFIRMED_SIZE` of all known instances.
         """
         self._expire(now)
         local = self._list_local(now)
         if not local:
             self._surveyed_at = now
-            return self.list_controls()
-        chosen = max(local, key=self._is_durable)
+            chosen = self._choose_unconfirmed(now)
+            return (*chosen, *self._survey(chosen, UNCONFIRMED_SIZE))
+        chosen = (max(local, key=self._is_durable),)
         if now - self._surveyed_at < SURVEY_INTERVAL:
-            return (chosen,)
+            return chosen
         self._surveyed_at = now
-        return (chosen, *self._survey(chosen))
+        return (*chosen, *self._survey(chosen, SURVEY_SIZE + 1))
+
+    def _choose_unconfirmed(self, now: float) -> tuple[Address, ...]:
+        """Return the instances that are asked at each hello without a quorum.
+
+        These are the one that lists the nodes, and some of the own zone.
+        """
+        lister = self._find_lister(now)
+        local = (
+            control
+            for control, (welcome, _) in self._welcomes.items()
+            if welcome.node.zone == self.zone and control != lister
+        )
+        listing = () if lister is None else (lister,)
+        return (*listing, *islice(local, UNCONFIRMED_LOCAL_SIZE))
 
     def _is_durable(self, control: Address) -> bool:
         return self._welcomes[control][0].durable
 
-    def _survey(self, chosen: Address) -> Iterator[Address]:
-        """Return the next instances to survey, each in its turn."""
-        others = [one for one in self.list_controls() if one != chosen]
-        count = min(SURVEY_SIZE, len(others))
+    def _survey(
+        self, chosen: tuple[Address, ...], size: int
+    ) -> Iterator[Address]:
+        """Return the next instances to survey, each in its turn.
+
+        :param chosen: instances that are asked anyway
+        :param size: number of instances to ask together with these
+        """
+        others = [one for one in self.list_controls() if one not in chosen]
+        count = min(size - len(chosen), len(others))
         first = self._surveys % max(1, len(others))
         self._surveys = first + count
         return islice(cycle(others), first, first + count)
@@ -222,10 +278,22 @@
         """Tell whether a control instance should omit the lists of nodes.
 
         The instances of the own zone send the complete lists, and traffic
-        between zones is billed.
+        between zones is billed. While none of these confirms a quorum, one
+        instance that answers sends them.
         """
         local = self._list_local(now)
-        return bool(local) and control not in local
+        if local:
+            return control not in local
+        return self._find_lister(now) not in (None, control)
+
+    def _find_lister(self, now: float) -> Address | None:
+        """Return an instance that has answered, best one of the own zone."""
+        recent = [
+            (welcome.node.zone != self.zone, not welcome.lists, control)
+            for control, (welcome, heard_at) in self._welcomes.items()
+            if now - heard_at <= ANSWER_TIMEOUT
+        ]
+        return min(recent, key=itemgetter(0, 1))[2] if recent else None
 
     def list_controls(self) -> tuple[Address, ...]:
         """Return all known control instances."""
@@ -313,9 +381,12 @@
             self._listed.pop(sender, None)
 
 
-def _drop_older(known: dict[_Key, float], since: float) -> None:
-    for key in [key for key, at in known.items() if at < since]:
+def _drop_older(known: dict[_Key, float], since: float) -> list[_Key]:
+    """Remove and return the keys of earlier times."""
+    removed = [key for key, at in known.items() if at < since]
+    for key in removed:
         del known[key]
+    return removed
 
 
 def _list_addresses(nodes: Iterable[Node]) -> Iterable[Address]:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -225,7 +225,7 @@
         sent_at = float('-inf')
         while True:
             self.directory.expire(loop.time())
-            balancers = self.directory.list_direct_balancers()
+            balancers = self.directory.list_relayed_balancers()
             known = (balancers, self.directory.list_controls())
             if known != sent or loop.time() - sent_at >= GOSSIP_INTERVAL:
                 sent, sent_at = known, loop.time()
--- a/tests/core/passthrough/discovery.feature
+++ b/tests/core/passthrough/discovery.feature
@@ -54,6 +54,42 @@
       | 15     |
       | 49     |
 
+  # While control is disturbed, all nodes of a large deployment do so at once.
+  Scenario Outline: Without a quorum, a node asks few of <number> control instances at a time
+    Given a node in zone "x" that knows <number> control instances, one of them in its zone
+    When without a quorum the one of its zone answers for 30 seconds
+    Then the node has asked at most 6 instances at a time
+    And it has asked the one of its zone each time
+    And it has asked each control instance
+
+    Examples:
+      | number |
+      | 5      |
+      | 15     |
+      | 49     |
+
+  Scenario: Without an instance of the own zone, one other lists nodes
+    Given a node in zone "x" with the seeds "c1" and "c2"
+    When "c1" of zone "y" and "c2" of zone "z" answer
+    Then one instance alone is asked to list nodes
+    And after 1.2 seconds without an answer "c1" is asked to list nodes
+    And "c2" is asked to list nodes
+
+  Scenario: A balancer that surveys a control instance does not change its lists
+    Given control instances "c1" and "c2"
+    And a node in zone "x" with the seeds "c1" and "c2"
+    When for 20 seconds the node polls "c1", and "c2" relays "b1" to it, which surveys it every 4 seconds
+    Then it was sent the lists 1 time
+    And the balancer "b1" is known
+
+  Scenario: A balancer is relayed by the control instances of its own zone
+    Given "c1" of zone "x" and "c2" of zone "y" are control instances
+    When "c1" hears the balancer "b1" of zone "x"
+    And "c1" hears the balancer "b2" of zone "y"
+    Then "c1" relays "b1" and "b2"
+    When "c1" hears the control instance "c2"
+    Then "c1" relays "b1"
+
   Scenario: A node that has the newest lists is not sent them again and keeps them
     Given control instances "c1" and "c2"
     And a node in zone "x" with the seeds "c1" and "c2"
--- a/tests/core/passthrough/steps/discovery_steps.py
+++ b/tests/core/passthrough/steps/discovery_steps.py
@@ -27,7 +27,7 @@
 #: Addresses by the names in the scenarios.
 HOSTS = {
     name: Address(f'10.0.0.{number}', 1)
-    for number, name in enumerate(('c1', 'c2', 'c3', 'b1', 'a1'), 1)
+    for number, name in enumerate(('c1', 'c2', 'c3', 'b1', 'a1', 'b2'), 1)
 }
 
 
@@ -200,7 +200,7 @@
 
 @when('"{one}" sends its list of balancers to "{two}"')
 def gossip(context, one, two):
-    balancers = context.directories[one].list_direct_balancers()
+    balancers = context.directories[one].list_relayed_balancers()
     hello = Hello(CONTROL, make_node(one), balancers)
     context.directories[two].receive_hello(hello, context.now)
 
@@ -398,3 +398,87 @@
 def check_no_source(context, version):
     finder = context.finder
     assert finder.choose_source(version, 0, context.now) is None
+
+
+@then('one instance alone is asked to list nodes')
+def check_one_lists(context):
+    finder = context.finder
+    asked = finder.choose_controls(context.now)
+    listing = [
+        one for one in asked if not finder.wants_brief(one, context.now)
+    ]
+    assert len(listing) == 1, listing
+
+
+@when('without a quorum the one of its zone answers for {seconds:d} seconds')
+def answer_unconfirmed(context, seconds):
+    own = context.controls[0]
+    node = Node(str(own), context.finder.zone)
+    welcome = Welcome(node, 1, 5000, 'routes:1', (node,), ())
+    context.rounds = []
+    end = context.now + seconds
+    context.finder.receive_welcome(own, welcome, context.now)
+    while context.now < end:
+        asked = context.finder.choose_controls(context.now)
+        if own in asked:
+            context.finder.receive_welcome(own, welcome, context.now)
+        context.rounds.append(asked)
+        context.asked += asked
+        context.now += HELLO_INTERVAL
+
+
+@then('the node has asked at most {number:d} instances at a time')
+def check_at_a_time(context, number):
+    assert max(map(len, context.rounds)) <= number
+    assert all(len(set(asked)) == len(asked) for asked in context.rounds)
+
+
+@then('it has asked the one of its zone each time')
+def check_own_asked(context):
+    assert all(context.controls[0] in asked for asked in context.rounds)
+
+
+@when(
+    'for {seconds:d} seconds the node polls "{control}", and "{other}" relays'
+    ' "{name}" to it, which surveys it every {pause:d} seconds'
+)
+def poll_surveyed(context, seconds, control, other, name, pause):
+    context.sent_lists = 0
+    for second in range(seconds):
+        say_hello(context, name, other)
+        gossip(context, other, control)
+        if second and not second % pause:
+            hello = Hello(BALANCER, make_node(name), brief=True)
+            context.directories[control].receive_hello(hello, context.now)
+        poll(context, control, 1)
+
+
+@given(
+    '"{one}" of zone "{zone}" and "{two}" of zone "{far}" are control'
+    ' instances'
+)
+def start_controls_apart(context, one, zone, two, far):
+    context.now = 100.0
+    context.directories = {
+        one: Directory(make_node(one, zone)),
+        two: Directory(make_node(two, far)),
+    }
+
+
+@when('"{control}" hears the balancer "{name}" of zone "{zone}"')
+def say_hello_from(context, name, zone, control):
+    hello = Hello(BALANCER, make_node(name, zone))
+    context.directories[control].receive_hello(hello, context.now)
+
+
+@when('"{control}" hears the control instance "{other}"')
+def hear_control(context, control, other):
+    hello = Hello(CONTROL, context.directories[other].node)
+    context.directories[control].receive_hello(hello, context.now)
+
+
+@then('"{control}" relays {names}')
+def check_relayed(context, control, names):
+    relayed = context.directories[control].list_relayed_balancers()
+    wanted = {str(HOSTS[name]) for name in re.findall('"(.+?)"', names)}
+    assert {node.address for node in relayed} == wanted, relayed
