--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 .PHONY: measure-control
 .PHONY: measure-crest
 .PHONY: measure-flows
+.PHONY: measure-pools
 .PHONY: measure-start
 .PHONY: measure-steering
 .PHONY: setup
@@ -81,6 +82,10 @@
 	$(BIN)/ruff format packages platform tests tools
 	$(BIN)/ruff check --fix packages platform tests tools
 
+measure-pools: export PYTHONPATH := $(PYTHONPATH):tests/core/passthrough:tests/core/passthrough/steps
+measure-pools: setup
+	$(BIN)/python tests/core/passthrough/pool_table.py
+
 measure-start: setup
 	$(BIN)/python tools/measure_start.py
 
