--- a/tests/core/passthrough/flows.feature
+++ b/tests/core/passthrough/flows.feature
@@ -145,3 +145,24 @@
     When all agents and "b0" have restarted 0.5 s after their targets, and the caller sends another packet
     Then at most 60 messages were sent for it
     And no target has received a packet of it
+
+  # Only the two ends of a flow can tell whose answer a packet is.
+  Scenario Outline: A late second copy of an answer reaches a port that is used again, and the caller <does>
+    Given the caller <does>
+    And a caller has been answered through "b1"
+    When it opens a flow of 500 ms from the same port at another target, and the former target sends its answer again
+    Then the caller has <taken> the copy for its answer
+
+    Examples:
+      | does                          | taken     |
+      | checks the sequence number    | not taken |
+      | ignores the sequence number   | taken     |
+
+  Scenario: A flow goes on while the reports of its agent are lost for 12 s, and is found afterwards
+    Given a caller has opened a flow of 14000 ms through "b1"
+    When all messages of its agent to balancers are lost for 12 s
+    Then the open flow is not reset
+    When its packets are sent to "b2"
+    Then the call is answered within 14500 ms
+    And its target has run the request once
+    And no other target has received a packet of it
--- a/tests/core/passthrough/mesh.py
+++ b/tests/core/passthrough/mesh.py
@@ -140,6 +140,8 @@
     timers: dict = attrs.field(factory=dict)
     #: Fraction of each 100 ms period in which balancers run; 0 for all of it.
     cpu_share: float = 0.0
+    #: Whether callers drop answers with the sequence number of another flow.
+    checks_sequence: bool = True
     #: When each paused process resumes.
     paused_until: dict = attrs.field(factory=dict)
 
@@ -354,7 +356,7 @@
             return
         if len(target.queue) >= target.queue_max:
             target.shed += 1
-            self.send_from_target(name, encode(flow, ENDS, 1, 0, 1))
+            self.send_answer(name, target, flow, 1)
             return
         target.runs[flow] += 1
         target.queue.append(flow)
@@ -371,9 +373,13 @@
     def finish(self, name, target, flow):
         target.running -= 1
         if target.alive and flow in target.flows:
-            self.send_from_target(name, encode(flow, ENDS, 1, 0, 100))
+            self.send_answer(name, target, flow, 100)
         self.serve(name, target)
 
+    def send_answer(self, name, target, flow, length):
+        sequence = target.flows[flow] + 1
+        self.send_from_target(name, encode(flow, ENDS, sequence, 0, length))
+
     def send_from_target(self, name, packet):
         agent = self.agents.get(name)
         resumption = self.find_resumption(name)
@@ -476,7 +482,14 @@
             attempt.opened_at = self.now
             attempt.accepted = segment.sequence
             self.request(attempt)
-        elif segment.ends and attempt.opened_at is not None:
+        elif (
+            segment.ends
+            and attempt.opened_at is not None
+            and (
+                not self.checks_sequence
+                or segment.sequence == attempt.accepted + 1
+            )
+        ):
             shed = segment.length == 1
             attempt.outcome = 'shed' if shed else 'answered'
             attempt.ended_at = self.now
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -9,6 +9,7 @@
 from behave import then
 from behave import when
 from mesh import encode
+from mesh import ENDS
 from mesh import ENTRY
 from mesh import ENTRY_NUMBER
 from mesh import Mesh
@@ -22,6 +23,7 @@
 from pistachiohook_core.passthrough.messages import TargetState
 from pistachiohook_core.passthrough.placement import estimate_wait
 from pistachiohook_core.passthrough.segments import make_flow
+from pistachiohook_core.passthrough.segments import read_flow
 
 
 def await_reports(mesh):
@@ -886,3 +888,58 @@
         target.unknown_flow_packets for target in context.mesh.targets.values()
     ]
     assert not any(received), received
+
+
+@given('the caller {verb} the sequence number')
+def set_check(context, verb):
+    context.mesh.checks_sequence = verb == 'checks'
+
+
+@given('a caller has been answered through "{balancer}"')
+def answer_one(context, balancer):
+    context.flow = context.mesh.call(balancer)
+    context.mesh.run(0.5)
+    assert context.flow.outcome == 'answered'
+    context.owner = find_owner(context.mesh, context.flow)
+
+
+@when(
+    'it opens a flow of {length:d} ms from the same port at another target,'
+    ' and the former target sends its answer again'
+)
+def use_port_again(context, length):
+    mesh, former = context.mesh, context.flow
+    mesh.announce(context.owner, leaving=True)
+    mesh.run(0.3)
+    for name, target in mesh.targets.items():
+        if name != context.owner:
+            # Targets draw their sequence numbers independently.
+            next(target.numbers)
+    mesh.ports = iter([read_flow(former.flow)[1]])
+    context.flow = mesh.call(former.balancer, length / 1000)
+    mesh.run(0.05)
+    assert context.flow.flow == former.flow
+    assert context.flow.opened_at is not None
+    number = mesh.targets[context.owner].flows[former.flow]
+    assert number != context.flow.accepted
+    mesh.send_from_target(
+        context.owner, encode(former.flow, ENDS, number + 1, 0, 100)
+    )
+    mesh.run(3)
+    context.length = length / 1000
+
+
+@then('the caller has {taken} the copy for its answer')
+def check_copy(context, taken):
+    flow = context.flow
+    assert flow.outcome == 'answered', flow
+    own = flow.ended_at - flow.began_at >= context.length
+    assert own is (taken == 'not taken'), flow
+
+
+@when('all messages of its agent to balancers are lost for {seconds:d} s')
+def lose_reports(context, seconds):
+    mesh = context.mesh
+    mesh.is_lost = lambda sender, _: sender == context.owner
+    mesh.run(seconds)
+    mesh.is_lost = None
--- a/tests/daemon/replicator/replicator.feature
+++ b/tests/daemon/replicator/replicator.feature
@@ -79,6 +79,7 @@
       | 3    | 0.1 |
       | 3    | 1.0 |
       | 5    | 0.1 |
+      | 7    | 0.1 |
 
   Scenario: A snapshot that finds the disk full is written once it has room
     Given 3 replicators that all vote
