Answer the API's requests in progress before control exits

Cause: a control instance of QUIC services closed all connections of its administration API at a shutdown, with requests in progress.

Change: the API's server finishes as those of pass-through control do, up to 3 s; each request is a future that is done when its answer has been sent.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/api.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 from typing import TYPE_CHECKING
 from typing import TypeVar
@@ -23,6 +24,7 @@
 from tornado.web import Application
 from tornado.web import RequestHandler
 
+from ..serving import RunningServer
 from .tokens import find_token
 from .tokens import Role
 
@@ -55,10 +57,24 @@
         administration: Administration,
         tokens: tuple[Token, ...],
         report: Report,
+        requests: set[asyncio.Future[None]],
     ) -> None:
         self.administration = administration
         self.tokens = tokens
         self.report = report
+        self.answered = asyncio.get_running_loop().create_future()
+        requests.add(self.answered)
+        self.answered.add_done_callback(requests.discard)
+
+    def on_finish(self) -> None:
+        self._set_answered()
+
+    def on_connection_close(self) -> None:
+        self._set_answered()
+
+    def _set_answered(self) -> None:
+        if not self.answered.done():
+            self.answered.set_result(None)
 
     def prepare(self) -> None:
         header = self.request.headers.get('Authorization')
@@ -207,7 +223,7 @@
     administration: Administration,
     tokens: tuple[Token, ...],
     report: Report,
-) -> HTTPServer:
+) -> RunningServer:
     """Start the HTTP server of the administration API.
 
     :param address: address to listen on
@@ -216,10 +232,12 @@
     :param report: logs an event
     :raises OSError: when the address can't be bound
     """
+    requests: set[asyncio.Future[None]] = set()
     arguments = {
         'administration': administration,
         'tokens': tokens,
         'report': report,
+        'requests': requests,
     }
     application = Application(
         [(path, handler, arguments) for path, handler in _ROUTES],
@@ -229,7 +247,7 @@
     )
     server = HTTPServer(application, max_buffer_size=BODY_MAX)
     server.add_sockets(bind_sockets(address.port, address.host))
-    return server
+    return RunningServer(server, requests)
 
 
 def _unwrap(result: Result[_Document, Problem]) -> _Document:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/role.py
@@ -32,16 +32,19 @@
 if TYPE_CHECKING:
     from pistachiohook_core.addresses import Address
     from pistachiohook_core.configuration.state import State
-    from tornado.httpserver import HTTPServer
 
     from ..keys import LinkKeys
     from ..logs import Report
+    from ..serving import RunningServer
     from ..settings import ControlSettings
     from ..settings import Settings
     from ..supervisor import Supervisor
     from .disk import DataFolder
     from .peers import Peers
 
+#: Longest wait for the requests in progress at a shutdown, in seconds.
+REQUESTS_TIMEOUT = 3.0
+
 
 @attrs.define
 class ControlRole:
@@ -59,7 +62,7 @@
     replicator: Replicator
     links: LinkServer
     link: Address
-    api: HTTPServer
+    api: RunningServer
     peers: Peers
     folder: DataFolder
     state_machine: ControlStateMachine
@@ -77,9 +80,9 @@
         return Health(freshness <= FRESHNESS_BOUND, reason)
 
     async def shut_down(self) -> None:
-        """Stop listening and close all connections."""
-        self.api.stop()
-        await self.api.close_all_connections()
+        """Answer the requests in progress and close all connections."""
+        await self.api.finish(REQUESTS_TIMEOUT)
+        await self.api.close_connections()
         self.links.close()
         self.peers.close()
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/serving.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/serving.py
@@ -70,15 +70,18 @@
 
 @attrs.define
 class RunningServer:
-    """A server that listens, and the requests that it is answering."""
+    """A server that listens, and the requests that it is answering.
+
+    Each request is a future that is done when its answer has been sent.
+    """
 
     _server: HTTPServer
-    _tasks: set[asyncio.Task[None]]
+    _requests: set[asyncio.Future[None]]
 
     @property
     def in_progress(self) -> int:
         """Number of requests that are being answered."""
-        return len(self._tasks)
+        return len(self._requests)
 
     def stop(self) -> None:
         """Accept no more connections."""
@@ -96,12 +99,16 @@
             await asyncio.sleep(0)
         self.stop()
         await asyncio.sleep(min(REQUEST_WAIT, timeout))
-        while self._tasks:
+        while self._requests:
             remaining = end - asyncio.get_running_loop().time()
-            _, pending = await asyncio.wait(self._tasks, timeout=remaining)
+            _, pending = await asyncio.wait(self._requests, timeout=remaining)
             if pending:
                 return
 
+    async def close_connections(self) -> None:
+        """Close all connections, also those with a request in progress."""
+        await self._server.close_all_connections()
+
 
 if TYPE_CHECKING:
     #: Handles a request; may be a coroutine function.
@@ -125,7 +132,7 @@
         500, and connections that the client closed before the response
     :raises OSError: when the address cannot be bound
     """
-    tasks: set[asyncio.Task[None]] = set()
+    tasks: set[asyncio.Future[None]] = set()
 
     def respond(request: HTTPServerRequest) -> None:
         task = asyncio.create_task(_respond(request, routes, report))
--- a/tests/daemon/control/control.feature
+++ b/tests/daemon/control/control.feature
@@ -39,6 +39,12 @@
       | the leader |
       | a follower |
 
+  # The operator's requests end when the process does, unless it waits for them.
+  Scenario: Requests in progress are answered before a control instance exits
+    Given 3 control instances and a node "n"
+    When a follower is told to stop while 4 reads are in progress there
+    Then each read was answered with status 200
+
   Scenario: Without a quorum linearized reads and changes fail
     Given 3 control instances and a node "n"
     When all control instances but one are stopped
--- a/tests/daemon/control/steps/control_steps.py
+++ b/tests/daemon/control/steps/control_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from pathlib import Path
 import tempfile
@@ -324,3 +325,40 @@
 @then('the file is {outcome}')
 def compare_tokens(context, outcome):
     assert is_successful(context.tokens) == (outcome == 'read')
+
+
+@when(
+    'a follower is told to stop while {number:d} reads are in progress there'
+)
+def stop_during_reads(context, number):
+    cluster = context.cluster
+    leader = cluster.find_leader()
+    name = next(name for name in cluster.roles if name != leader)
+    role, _ = cluster.roles[name]
+    address = next(m.api for m in cluster.members if m.name == name)
+    request = (
+        f'GET /v1/configuration HTTP/1.1\r\nHost: test\r\n'
+        f'Authorization: Bearer {OPERATOR}\r\n\r\n'
+    ).encode()
+
+    async def stop():
+        connections = [
+            await asyncio.open_connection(address.host, address.port)
+            for _ in range(number)
+        ]
+        for _, writer in connections:
+            writer.write(request)
+        await asyncio.sleep(0.01)
+        await role.shut_down()
+        return [await reader.readline() for reader, _ in connections]
+
+    context.status_lines = cluster.call(stop())
+    _, supervisor = cluster.roles.pop(name)
+    cluster.call(supervisor.cancel())
+    role.folder.close()
+
+
+@then('each read was answered with status {status:d}')
+def check_reads(context, status):
+    codes = [line.split()[1:2] for line in context.status_lines]
+    assert codes == [[str(status).encode()]] * len(codes), codes
