--- a/packages/pistachiohook-core/src/pistachiohook_core/metrics.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/metrics.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from collections import Counter
+from typing import TYPE_CHECKING
 
 import attrs
-from hdrh.histogram import HdrHistogram
+
+if TYPE_CHECKING:
+    from hdrh.histogram import HdrHistogram
 
 #: Smallest and largest value that a histogram records, in microseconds; other
 #: values are recorded as the nearer of the two.
@@ -37,8 +40,7 @@
         """Record a duration in the histogram of that name."""
         histogram = self.histograms.get(name)
         if histogram is None:
-            histogram = HdrHistogram(*HISTOGRAM_RANGE_US, HISTOGRAM_DIGITS)
-            self.histograms[name] = histogram
+            histogram = self.histograms[name] = _create_histogram()
         low, high = HISTOGRAM_RANGE_US
         histogram.record_value(min(high, max(low, int(seconds * 1e6))))
 
@@ -69,3 +71,10 @@
             for name, histogram in sorted(self.histograms.items())
         ]
         return '\n'.join([*counters, *quantiles, *totals, ''])
+
+
+def _create_histogram() -> HdrHistogram:
+    # Processes that record no duration start sooner without it.
+    from hdrh.histogram import HdrHistogram
+
+    return HdrHistogram(*HISTOGRAM_RANGE_US, HISTOGRAM_DIGITS)
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
@@ -5,7 +5,7 @@
 from itertools import cycle
 from itertools import islice
 from operator import itemgetter
-import secrets
+from random import SystemRandom
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
@@ -99,7 +99,9 @@
     _relayed: dict[Node, float] = attrs.field(factory=dict)
     _controls: dict[Node, float] = attrs.field(factory=dict)
     _lists: int = attrs.field(
-        factory=lambda: (secrets.randbits(LISTS_BITS - 1) | 1) << LISTS_BITS
+        factory=lambda: (
+            (SystemRandom().getrandbits(LISTS_BITS - 1) | 1) << LISTS_BITS
+        )
     )
 
     def receive_hello(self, hello: Hello, now: float) -> None:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/build_files.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/build_files.py
@@ -1,18 +1,26 @@
 """Files with marshaled code that the build writes.
 
-They are checked in the same way as Python's cache of compiled modules. This
-module is imported before a bundle is in use, so it imports little.
+They are checked when they are read. This module is imported before a bundle is
+in use, so it imports little, and not :mod:`typing` either.
 """
 
 from __future__ import annotations
 
-from importlib.util import MAGIC_NUMBER
-from importlib.util import source_hash
 import marshal
-from typing import Any
+import sys
+from zlib import crc32
 
-#: Length of the checksum that follows Python's magic number, in bytes.
-CHECKSUM_LENGTH = 8
+# Type checkers know this name; importing it would take longer than the rest.
+TYPE_CHECKING = False
+
+if TYPE_CHECKING:
+    from typing import Any
+
+#: First line of each file: marshaled code fits one version of Python.
+VERSION_LINE = f'{sys.implementation.cache_tag} {sys.hexversion:x}\n'.encode()
+
+#: Length of the checksum that follows the first line, in bytes.
+CHECKSUM_LENGTH = 4
 
 
 def read_build_file(path: str) -> Any:
@@ -24,11 +32,11 @@
     with open(path, 'rb') as file:
         # Slices of a view are not copies: a bundle has several megabytes.
         data = memoryview(file.read())
-    length = len(MAGIC_NUMBER)
+    length = len(VERSION_LINE)
     body = data[length + CHECKSUM_LENGTH :]
-    if data[:length] != MAGIC_NUMBER:
+    if data[:length] != VERSION_LINE:
         raise ValueError('written by another version of Python')
-    if data[length : length + CHECKSUM_LENGTH] != source_hash(body):
+    if data[length : length + CHECKSUM_LENGTH] != _make_checksum(body):
         raise ValueError('damaged; the checksum does not match')
     return marshal.loads(body)
 
@@ -40,4 +48,8 @@
     """
     body = marshal.dumps(content)
     with open(path, 'wb') as file:
-        file.write(MAGIC_NUMBER + source_hash(body) + body)
+        file.write(VERSION_LINE + _make_checksum(memoryview(body)) + body)
+
+
+def _make_checksum(body: memoryview) -> bytes:
+    return crc32(body).to_bytes(CHECKSUM_LENGTH, 'little')
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/bundle.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/bundle.py
@@ -5,8 +5,8 @@
 recovery after all processes have stopped. The build writes the file; modules
 that it lacks are imported as usual.
 
-This module imports as little as possible, since it is imported from its own
-file.
+This module imports as little as possible, since it and what it imports are
+imported from their own files.
 """
 
 from __future__ import annotations
@@ -16,17 +16,16 @@
 from importlib.machinery import SourceFileLoader
 import os
 import sys
-from typing import cast
-from typing import TYPE_CHECKING
 
 from .build_files import read_build_file
 from .build_files import write_build_file
 
+# See :mod:`.build_files`.
+TYPE_CHECKING = False
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Sequence
-    from importlib.abc import Loader
-    from importlib.abc import MetaPathFinder
     from types import CodeType
     from types import ModuleType
 
@@ -63,7 +62,7 @@
         is_package = file == PACKAGE_FILE
         spec = ModuleSpec(
             name,
-            cast('Loader', self),
+            self,  # type: ignore[arg-type]  # its base class imports typing
             origin=origin,
             is_package=is_package,
         )
@@ -99,7 +98,7 @@
         return f'{path}: {error}'
     if origin != _describe_origin(path):
         return f'{path}: written at another place or by another Python'
-    sys.meta_path.insert(0, cast('MetaPathFinder', BundleImporter(codes)))
+    sys.meta_path.insert(0, BundleImporter(codes))
     return ''
 
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/generated.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/generated.py
@@ -2,20 +2,21 @@
 
 attrs generates and compiles the methods of each class at every start, which
 takes a large part of the start time and so delays the recovery after all
-processes have stopped.
+processes have stopped. The cache must be in use before attrs is imported,
+whose own classes have such methods too.
 """
 
 from __future__ import annotations
 
+import builtins
 from functools import partial
 from importlib import import_module
 from pathlib import Path
 import re
 import sys
+from typing import Any
 from typing import TYPE_CHECKING
 
-from attr import _make
-
 from .build_files import read_build_file
 from .build_files import write_build_file
 
@@ -27,8 +28,13 @@
     #: Compiled code by file name and source text, both given by attrs.
     CodeTable = dict[tuple[str, str], CodeType]
 
-    #: A function with the signature of the builtin ``compile``.
-    CompileFunction = Callable[[str, str, str], CodeType]
+    #: A function that attrs calls as the builtin ``compile``.
+    CompileFunction = Callable[..., CodeType]
+
+_compile: CompileFunction = compile
+
+#: Start of the file names that attrs gives to generated code.
+GENERATED_NAME = '<attrs generated '
 
 #: Line with the number that attrs mixes into the hashes of a class. It differs
 #: between processes and may be any number, so that it isn't part of the key.
@@ -70,18 +76,22 @@
 
 
 def _find_code(
-    codes: CodeTable, source: str, name: str, mode: str
+    codes: CodeTable, source: Any, name: str, *arguments: Any, **options: Any
 ) -> CodeType:
-    # Each class is created only once; removing the entry frees memory.
-    found = codes.pop(_make_key(source, name), None)
-    return compile(source, name, mode) if found is None else found
+    if str(name).startswith(GENERATED_NAME):
+        # Each class is created only once; removing the entry frees memory.
+        found = codes.pop(_make_key(source, name), None)
+        if found is not None:
+            return found
+    return _compile(source, name, *arguments, **options)
 
 
 def _record_code(
-    codes: CodeTable, source: str, name: str, mode: str
+    codes: CodeTable, source: Any, name: str, *arguments: Any, **options: Any
 ) -> CodeType:
-    code: CodeType = compile(source, name, mode)
-    codes[_make_key(source, name)] = code
+    code = _compile(source, name, *arguments, **options)
+    if str(name).startswith(GENERATED_NAME):
+        codes[_make_key(source, name)] = code
     return code
 
 
@@ -90,9 +100,12 @@
 
 
 def _replace_compile(replacement: CompileFunction) -> None:
-    """Replace the ``compile`` function that attrs calls."""
-    # A global of the module takes precedence over the builtin function.
-    vars(_make)['compile'] = replacement
+    """Replace the builtin ``compile``.
+
+    attrs has no hook for it, and creates classes while it is imported, so that
+    a global variable of its module could not be set in time.
+    """
+    vars(builtins)['compile'] = replacement
 
 
 if __name__ == '__main__':
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/serving.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/serving.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
+    import socket
 
     from pistachiohook_core.addresses import Address
     from tornado.httputil import HTTPServerRequest
@@ -121,7 +122,10 @@
 
 
 def serve_http(
-    address: Address, routes: Mapping[str, Handler], report: Report
+    address: Address,
+    routes: Mapping[str, Handler],
+    report: Report,
+    listener: socket.socket | None = None,
 ) -> RunningServer:
     """Start a server; requests without a route are answered with 404.
 
@@ -130,6 +134,8 @@
         slash matches every path with one more segment
     :param report: logs unexpected errors of handlers, which are answered with
         500, and connections that the client closed before the response
+    :param listener: socket that listens on the address already; ``None`` binds
+        the address
     :raises OSError: when the address cannot be bound
     """
     tasks: set[asyncio.Future[None]] = set()
@@ -140,7 +146,12 @@
         task.add_done_callback(tasks.discard)
 
     server = HTTPServer(respond)
-    server.add_sockets(bind_sockets(address.port, address.host))
+    bound = (
+        bind_sockets(address.port, address.host)
+        if listener is None
+        else [listener]
+    )
+    server.add_sockets(bound)
     return RunningServer(server, tasks)
 
 
--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -163,7 +163,7 @@
     )
     send = partial(send_with_faults, DatagramSocket.send, faults, Random())
     DatagramSocket.send = lambda *arguments: send(*arguments)
-    return main()
+    return main(listener=pistachiohook_platform.__main__.listener)
 
 
 if __name__ == '__main__':
