Look for control's listener without looking up a name

Cause: create_connection resolves the host first; each look of a balancer that waits for control cost control on the same processor some of its start.

Change: one connect without a look-up, every 50 ms.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/early.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/early.py
@@ -18,7 +18,7 @@
 CONTROL_WAIT = 0.5
 
 #: Interval at which :func:`await_listener` looks for the listener, in seconds.
-LOOK_INTERVAL = 0.02
+LOOK_INTERVAL = 0.05
 
 #: Timeout of one look, in seconds. It is only reached when the system drops
 #: packets to its own address.
@@ -50,12 +50,15 @@
     :returns: whether the other process listens
     """
     end = time.monotonic() + timeout
-    while True:
-        try:
-            socket.create_connection((host, port), LOOK_TIMEOUT).close()
-        except OSError:
-            if time.monotonic() >= end:
-                return False
-            time.sleep(LOOK_INTERVAL)
-        else:
-            return True
+    while not _is_listening(host, port):
+        if time.monotonic() >= end:
+            return False
+        time.sleep(LOOK_INTERVAL)
+    return True
+
+
+def _is_listening(host: str, port: int) -> bool:
+    # create_connection would look up the name of the host first.
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as looking:
+        looking.settimeout(LOOK_TIMEOUT)
+        return not looking.connect_ex((host, port))
