Hold callers' opening packets until a balancer has its first routes

Change: opening packets are held, up to 1024 of them and for 1.2 s, and handled once the first routes are applied. A held flow without a route is not refused, since a balancer with newer routes may have opened it meanwhile; one whose caller goes on elsewhere is forgotten.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -91,6 +91,14 @@
 #: were read late.
 RETRANSMISSION_GAPS = (0.15, 0.35, 0.75)
 
+#: Largest number of opening packets that are held until the balancer has its
+#: first routes: what callers open at one balancer in a second or two.
+HELD_OPENINGS_MAX = 1024
+
+#: Time after which a held opening packet is dropped, in seconds: its caller
+#: has given up soon after.
+HELD_TIME_MAX = 1.2
+
 #: Largest number of flows in the table; the least recently used are evicted.
 FLOWS_MAX = 65_536
 
@@ -185,6 +193,7 @@
     views: dict[str, dict[Address, AgentView]] = attrs.field(factory=dict)
     flows: OrderedDict[bytes, FlowEntry] = attrs.field(factory=OrderedDict)
     counts: Counter[str] = attrs.field(factory=Counter)
+    _held: dict[bytes, tuple[Segment, float]] = attrs.field(factory=dict)
     _services: dict[Address, str] = attrs.field(factory=dict)
     _timers: list[tuple[float, int, bytes, int]] = attrs.field(factory=list)
     _timer_ids: Iterator[int] = attrs.field(factory=lambda: count(1))
@@ -199,6 +208,25 @@
         self.table = table
         return True
 
+    def release_held(self, now: float) -> list[Action]:
+        """Handle the opening packets that arrived before the first routes.
+
+        Otherwise each caller would wait until it retransmits its packet. A
+        flow without a route is not refused: another balancer with newer routes
+        may have opened it meanwhile.
+        """
+        assert self.table is not None
+        held, self._held = self._held, {}
+        actions: list[Action] = []
+        for flow, (segment, arrived_at) in held.items():
+            route = self.table.find(flow)
+            if route is not None and now - arrived_at <= HELD_TIME_MAX:
+                self.counts['packets'] += 1
+                actions += self._receive_opening(
+                    route, segment, arrived_at, now
+                )
+        return actions
+
     def receive_packet(self, packet: bytes, now: float) -> list[Action]:
         """Handle a caller's packet."""
         segment = self.segment_format.read_caller(packet)
@@ -206,14 +234,14 @@
             self.counts['packets_malformed'] += 1
             return []
         if self.table is None:
-            self.counts['packets_without_routes'] += 1
+            self._hold(segment, now)
             return []
         route = self.table.find(segment.flow)
         if route is None:
             return self._refuse_unrouted(segment)
         self.counts['packets'] += 1
         if segment.opens:
-            return self._receive_opening(route, segment, now)
+            return self._receive_opening(route, segment, now, now)
         return self._receive_subsequent(route, segment, now)
 
     def receive_message(
@@ -331,22 +359,32 @@
         if len(self.flows) > FLOWS_MAX:
             self.flows.popitem(last=False)
 
+    def _hold(self, segment: Segment, now: float) -> None:
+        """Hold an opening packet until there are routes; drop any other."""
+        self.counts['packets_without_routes'] += 1
+        if not segment.opens:
+            # The caller goes on, so that another balancer has opened it.
+            self._held.pop(segment.flow, None)
+        elif segment.flow in self._held or len(self._held) < HELD_OPENINGS_MAX:
+            self._held[segment.flow] = segment, now
+
     def _receive_opening(
-        self, route: Route, segment: Segment, now: float
+        self, route: Route, segment: Segment, arrived_at: float, now: float
     ) -> list[Action]:
         entry = self.flows.get(segment.flow)
         retransmitted = segment.acknowledged > 0
         if entry is None or not retransmitted:
             service = choose_service(route, segment.flow)
             began_at = (
-                now
+                arrived_at
                 - RETRANSMISSION_AGES[
                     min(segment.acknowledged, len(RETRANSMISSION_AGES) - 1)
                 ]
             )
             entry = FlowEntry(service, FlowEntryState.OFFERED, now, began_at)
         entry.opening = segment
-        entry.opening_at = entry.touched_at = now
+        entry.opening_at = arrived_at
+        entry.touched_at = now
         self._remember(segment.flow, entry)
         if entry.state is FlowEntryState.ASSIGNED and self._is_live(
             entry, now
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
@@ -213,6 +213,8 @@
             return False
         former = self._version
         if self.balancer.set_routes(build_table(routes)):
+            now = asyncio.get_running_loop().time()
+            self._execute(self.balancer.release_held(now))
             self.report(
                 ROUTES_CHANGED,
                 version=routes.version,
--- a/tests/core/passthrough/flows.feature
+++ b/tests/core/passthrough/flows.feature
@@ -106,6 +106,32 @@
     When a caller calls through "b3"
     Then the call is answered within 350 ms
 
+  Scenario: A caller's opening packet waits for the first routes of a balancer
+    Given a balancer "b3" in zone "x" that has just started and has no routes
+    And "b3" knows the agents
+    When a caller calls through "b3", which gets its routes after 100 ms
+    Then the call is answered within 180 ms
+    And the request has run once in total
+
+  Scenario: Of packets held for the first routes, only those of waiting callers are used
+    Given a balancer "b3" in zone "x" that has just started and has no routes
+    And "b3" knows the agents
+    When 3000 callers send an opening packet to "b3", which gets its routes after 1300 ms
+    Then "b3" has made no offer
+    And no caller was refused
+
+  Scenario: A held flow without a route is not refused
+    Given a balancer "b3" in zone "x" that has just started and has no routes
+    When a caller calls through "b3", which gets routes without its service after 100 ms
+    Then no caller was refused within 150 ms of its call
+
+  Scenario: A caller that goes on with a flow elsewhere is forgotten
+    Given a balancer "b3" in zone "x" that has just started and has no routes
+    And "b3" knows the agents
+    When a caller opens a flow through "b1" after its first packet went to "b3"
+    And "b3" gets the flow's next packet and then its routes
+    Then "b3" has made no offer
+
   Scenario: A service without agents is refused at once
     Given the routes send flows to service "t"
     When a caller calls through "b1"
--- a/tests/core/passthrough/mesh.py
+++ b/tests/core/passthrough/mesh.py
@@ -168,8 +168,9 @@
         table = build_table(
             RouteSet(self.version, services, routes, idle_timeout_ms)
         )
-        for balancer in self.balancers.values():
-            balancer.set_routes(table)
+        for name, balancer in self.balancers.items():
+            if balancer.set_routes(table):
+                self.carry_out(name, balancer.release_held(self.now))
 
     def add_balancer(self, name, zone):
         seed = len(self.balancers)
