Keep accepted flows whose answers or next packets are lost

Traced: the answer to an offer was lost, the caller went on with the flow, and the balancer offered it to a second target all the same. That target's number was the first one's plus one, which the second agent took for its own, so that the flow's packets went to a target that the caller does not listen to. Once offered no second time, two flows were lost in another way: their caller's packets were lost for 1.4 s after the handshake, and the agent had forgotten them after 1.6 s.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -83,10 +83,15 @@
 #: is accepted as the successor, in seconds: more than two announcements.
 TARGET_TIMEOUT = 3.0
 
-#: Time after which an accepted flow whose caller has not completed the
-#: handshake is removed, in seconds. A caller gives up after 1.4.
+#: Time after which the caller of a flow that is being opened has given up, in
+#: seconds: it does so after 1.4 without an acceptance.
 OPENING_TIMEOUT = 1.6
 
+#: Time after which an accepted flow whose caller has not completed the
+#: handshake is removed, in seconds. The caller may have got the acceptance,
+#: and sends its next packet again after 0.2, 0.6, 1.4 and 3.0 when it is lost.
+HALF_OPEN_TIMEOUT = 4.0
+
 #: Time by which a target must have started before the agent to have flows of
 #: an earlier agent, in milliseconds: when both start together, as after a loss
 #: of power, the agent is ready up to this much later.
@@ -526,7 +531,7 @@
 
     def _find_lifetime(self, flow: AgentFlow) -> float:
         if flow.state is AgentFlowState.ACCEPTED:
-            return OPENING_TIMEOUT
+            return HALF_OPEN_TIMEOUT
         if flow.state is AgentFlowState.ENDED:
             return ENDED_TIMEOUT
         return self.idle_timeout
@@ -862,5 +867,6 @@
     """
     if flow.state in (AgentFlowState.WAITING, AgentFlowState.DELIVERED):
         return True
+    # The first packet after the opening one acknowledges the number after it.
     ahead = (acknowledged - flow.sequence) % SEQUENCE_RANGE
-    return flow.state is AgentFlowState.ACCEPTED and ahead > 1
+    return flow.state is AgentFlowState.ACCEPTED and ahead != 1
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -580,6 +580,11 @@
             if view is not None:
                 view.remove_offer(flow)
                 view.suspect = True
+            if entry.handshake_completed:
+                # The target has accepted the flow; only the answer was lost.
+                # Another target's acceptance would come too late.
+                entry.state = FlowEntryState.ASSIGNED
+                return []
             entry.unanswered.add(entry.agent)
         return self._offer_again(flow, entry, now)
 
--- a/tests/core/passthrough/flows.feature
+++ b/tests/core/passthrough/flows.feature
@@ -84,6 +84,21 @@
     When a caller calls through "b1"
     Then the call is answered within 250 ms
 
+  Scenario: An accepted flow whose answer to the offer is lost is offered once
+    When the answers to offers are lost and 20 callers call at 30 ms intervals
+    Then each flow was offered to one target
+    And no open flow was reset, no request ran twice, and no refused one ran
+
+  Scenario: Only the target whose acceptance a caller acknowledges has its flow
+    Given a target has accepted a flow whose caller has not gone on yet
+    Then its agent claims the flow of a packet that acknowledges the next number
+    And it claims none that acknowledges the number itself, or the one after next
+
+  Scenario: A caller whose first packets after the handshake are lost is answered
+    When a caller's next packets are lost for 2 s after a target has accepted its flow
+    Then the call is answered within 3200 ms
+    And the request has run once in total
+
   Scenario: A balancer that reaches no agent does not reset a flow opened through another one
     Given all messages of "b1" are lost
     When a caller sends its opening packet through "b1" and retransmits it through "b2"
--- a/tests/core/passthrough/steps/fault_steps.py
+++ b/tests/core/passthrough/steps/fault_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 from mesh import Mesh
 from pistachiohook_core.passthrough.actions import Send
+from pistachiohook_core.passthrough.messages import FindOwner
 from pistachiohook_core.passthrough.messages import WithdrawOffer
 
 #: Time that is simulated after the last call, in seconds.
@@ -67,6 +68,42 @@
     finish(context)
 
 
+@when(
+    'the answers to offers are lost and {count:d} callers call at {pause:d} ms'
+    ' intervals'
+)
+def lose_answers(context, count, pause):
+    mesh = context.mesh
+    mesh.is_lost = lambda sender, _: sender in mesh.agents
+    names = list(mesh.balancers)
+    context.calls = []
+    for number in range(count):
+        context.calls.append(mesh.call(names[number % len(names)]))
+        mesh.run(pause / 1000)
+    mesh.run(1)
+
+
+@when(
+    "a caller's next packets are lost for {seconds:d} s after a target has"
+    ' accepted its flow'
+)
+def lose_next_packets(context, seconds):
+    mesh = context.mesh
+    context.calls = [mesh.call('b1')]
+    mesh.run(0.002)
+    mesh.is_lost = lambda sender, _: sender in mesh.balancers
+    mesh.run(seconds)
+    mesh.is_lost = None
+
+
+@then('each flow was offered to one target')
+def check_offered_once(context):
+    offers = sum(
+        one.counts['offers'] for one in context.mesh.balancers.values()
+    )
+    assert offers == len(context.calls), offers
+
+
 @then('{count:d} calls are answered')
 def check_answered(context, count):
     ends = [
@@ -176,3 +213,39 @@
     call = context.call
     assert call.outcome == 'answered', call
     assert (call.ended_at - call.began_at) * 1000 <= bound, call
+
+
+@given('a target has accepted a flow whose caller has not gone on yet')
+def accept_flow(context):
+    mesh = context.mesh
+    context.call = mesh.call('b1')
+    context.calls = [context.call]
+    mesh.run(0.0015)
+    context.owner = next(
+        agent
+        for agent in mesh.agents.values()
+        if context.call.flow in agent.flows
+    )
+    context.number = context.owner.flows[context.call.flow].sequence
+    assert context.number
+
+
+def claims(context, acknowledged):
+    question = FindOwner('s', context.call.flow, acknowledged)
+    sender = context.mesh.address('b1')
+    return context.owner.receive_message(sender, question, context.mesh.now)
+
+
+@then(
+    'its agent claims the flow of a packet that acknowledges the next number'
+)
+def check_claims(context):
+    assert claims(context, context.number + 1)
+
+
+@then(
+    'it claims none that acknowledges the number itself, or the one after next'
+)
+def check_claims_no_other(context):
+    assert not claims(context, context.number)
+    assert not claims(context, context.number + 2)
