Test full disks of voters while an instance joins and at an election

With the disk of the leader or a follower full while a further instance joins, until it has joined or until it has replaced the voter, and with the leader stopped while a follower's disk is full, changes go on, and every instance holds them afterwards: 6 new scenarios of tests/daemon/replicator, all pass on the code as it is.

The scenario with 7 voters had played 5: there were only five names. It passes with 7.

--- a/tests/daemon/replicator/replicator.feature
+++ b/tests/daemon/replicator/replicator.feature
@@ -81,6 +81,36 @@
       | 5    | 0.1 |
       | 7    | 0.1 |
 
+  Scenario Outline: A disk that is full while an instance joins <end> stops no change
+    Given 3 replicators with a fault tolerance of 1
+    When the disk of <voter> is full and a further instance joins
+    Then 20 further commands are accepted
+    When the disk has room <end>
+    Then 20 further commands are accepted
+    And no task has ended, and each disk that was full is reported once
+    And every instance holds all accepted commands
+    And 3 instances vote
+
+    Examples:
+      | voter      | end                               |
+      | the leader | at once                           |
+      | a follower | at once                           |
+      | a follower | after it was replaced as a voter  |
+      | the leader | after it was replaced as a voter  |
+
+  Scenario Outline: <size> voters elect a leader around a disk that is full
+    Given <size> replicators that all vote
+    When the leader is stopped while the disk of a follower is full for 1.5 s
+    Then 20 further commands are accepted
+    And no task has ended, and each disk that was full is reported once
+    When the stopped one is started
+    Then every instance holds all accepted commands
+
+    Examples:
+      | size |
+      | 3    |
+      | 5    |
+
   Scenario: A snapshot that finds the disk full is written once it has room
     Given 3 replicators that all vote
     When the disk of the leader has no room for a snapshot
--- a/tests/daemon/replicator/steps/full_disk_steps.py
+++ b/tests/daemon/replicator/steps/full_disk_steps.py
@@ -4,8 +4,10 @@
 
 import asyncio
 
+import attrs
 from behave import then
 from behave import when
+from pistachiohook_core.consensus.entries import parse_instance_name
 from pistachiohook_core.events import JOURNAL_BLOCKED
 from pistachiohook_core.events import JOURNAL_RESUMED
 from pistachiohook_daemon.control.replicator import NOT_LEADER
@@ -174,6 +176,80 @@
     call(context, submit())
 
 
+@when('the disk of {voter} is full and a further instance joins')
+def join_while_full(context, voter):
+    leader = find_leader(context)
+    follower = next(name for name in context.names if name != leader)
+    context.filled = leader if voter == 'the leader' else follower
+    context.full[context.filled] = WRITES
+    context.names += 'd'
+    context.dynamic_membership = attrs.evolve(
+        context.dynamic_membership, may_bootstrap=False
+    )
+
+    async def join():
+        start_one(context, 'd')
+
+    call(context, join())
+
+
+@when('the disk has room at once')
+def empty_at_once(context):
+    del context.full[context.filled]
+
+
+@when('the disk has room after it was replaced as a voter')
+def empty_later(context):
+    wait(context, lambda: 'd' in list_voters(context))
+    del context.full[context.filled]
+
+
+@then('{number:d} instances vote')
+def check_voters(context, number):
+    wait(context, lambda: len(list_voters(context)) == number)
+
+
+def list_voters(context):
+    """Return the names of the voters as the leader knows them."""
+    return [
+        parse_instance_name(identity)
+        for running in context.running.values()
+        if running.replicator.is_leader
+        for identity in running.replicator._replica.membership.voters
+    ]
+
+
+@when(
+    'the leader is stopped while the disk of a follower is full for'
+    ' {length:f} s'
+)
+def stop_leader_while_full(context, length):
+    leader = find_leader(context)
+    follower = next(name for name in context.names if name != leader)
+    context.stopped = leader
+
+    async def empty():
+        await asyncio.sleep(length)
+        del context.full[follower]
+
+    async def fill_and_stop():
+        context.full[follower] = WRITES
+        # The follower meets the full disk before the election.
+        await context.running[leader].replicator.propose(b'first')
+        await stop(context, leader)
+        context.emptying = asyncio.ensure_future(empty())
+
+    call(context, fill_and_stop())
+
+
+@when('the stopped one is started')
+def start_stopped(context):
+    async def start_again():
+        start_one(context, context.stopped)
+
+    call(context, start_again())
+
+
 @when('a follower is started again with a full disk')
 def start_full(context):
     leader = find_leader(context)
--- a/tests/daemon/replicator/steps/replicator_steps.py
+++ b/tests/daemon/replicator/steps/replicator_steps.py
@@ -63,7 +63,8 @@
 def start(context, size):
     context.loop = asyncio.new_event_loop()
     context.root = Path(tempfile.mkdtemp())
-    context.names = 'abcde'[:size]
+    context.names = 'abcdefg'[:size]
+    assert len(context.names) == size
     context.running = {}
     context.isolated = set()
     context.folder_ids = count(1)
