Count the time of a suspended machine in all decisions

Cause: every lease, quorum confirmation, report age and offer was timed by the monotonic clock, which stands still while a machine is suspended. A control instance that resumes after some seconds told nodes that a quorum had just confirmed its routes, and a balancer placed flows by reports from before.

Change: one clock for all decisions of the daemon, which counts suspensions where the system has one; the event loop uses it too.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/load.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/load.py
@@ -6,7 +6,6 @@
 from functools import partial
 import itertools
 import json
-import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -20,6 +19,8 @@
 from tornado.httpclient import AsyncHTTPClient
 from tornado.httpclient import HTTPError
 
+from ..clocks import read_clock
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -91,7 +92,7 @@
         client = AsyncHTTPClient(force_instance=True)
         while True:
             load = await fetch_load(client, self.target)
-            now = time.monotonic()
+            now = read_clock()
             if load is not None:
                 self.requests.handle(
                     LoadReported(load.slots, load.running, load.serving)
@@ -106,7 +107,7 @@
         """Report the free slots to the chosen peers, until cancelled."""
         while True:
             await asyncio.sleep(REPORT_INTERVAL)
-            free = self.requests.scheduler.count_free(time.monotonic())
+            free = self.requests.scheduler.count_free(read_clock())
             report = FreeSlotsReport(
                 self.own_name, free.free, free.free_for_long
             )
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/requests.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/requests.py
@@ -36,6 +36,7 @@
 from pistachiohook_core.requests.scheduler_messages import TICK_INTERVAL
 from returns.result import Failure as Failed
 
+from ..clocks import read_clock
 from .answers import BAD_KEY
 from .answers import BODY_TOO_LONG
 from .answers import decode_answer
@@ -134,7 +135,7 @@
 
     def compute_time_left(self) -> float:
         """Return the time until the deadline, in seconds; 0 after it."""
-        return max(0.0, self.deadline - time.monotonic())
+        return max(0.0, self.deadline - read_clock())
 
 
 @attrs.define
@@ -179,7 +180,7 @@
         :returns: number of the request; ``None`` when it was refused at once
         """
         request_id = next(self._request_ids)
-        now = time.monotonic()
+        now = read_clock()
         deadline = now + read_timeout(exchange)
         active = _ActiveRequest(
             request_id,
@@ -247,7 +248,7 @@
 
     def handle(self, event: Event) -> None:
         """Pass an event to the scheduler and perform its actions."""
-        for action in self.scheduler.handle(event, time.monotonic()):
+        for action in self.scheduler.handle(event, read_clock()):
             self._perform(action)
 
     def _perform(self, action: Action) -> None:
@@ -315,7 +316,7 @@
         active = self._active.pop(request_id, None)
         if active is not None:
             active.on_finished()
-            duration = time.monotonic() - active.arrived_at
+            duration = read_clock() - active.arrived_at
             self.metrics.record_duration('request', duration)
 
     def _finish_with(
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/wiring.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/wiring.py
@@ -19,6 +19,7 @@
 from pistachiohook_core.steering.envelope import Keys
 from pistachiohook_core.steering.flows import AgentRouter
 
+from ..clocks import read_clock
 from ..datagrams import DatagramSocket
 from ..subscriber import build_subscriber
 from .answers import describe_problem
@@ -174,7 +175,7 @@
 ) -> RequestService:
     agent_settings = context.agent_settings
     scheduler = Scheduler(
-        SchedulerSettings(agent_settings.slots), time.monotonic()
+        SchedulerSettings(agent_settings.slots), read_clock()
     )
     return RequestService(
         scheduler,
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/administration.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/administration.py
@@ -44,6 +44,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from ..clocks import read_clock
 from .replicator import UNKNOWN_OUTCOME
 from .state_machine import encode_command
 
@@ -105,7 +106,7 @@
             return Failed(
                 _convert_failure(ProblemName.NO_QUORUM, barrier.failure())
             )
-        freshness = self.replicator.freshness(time.monotonic())
+        freshness = self.replicator.freshness(read_clock())
         shown = min(freshness, FRESHNESS_MAX)
         return Success(Source(self.instance, linearized, shown))
 
@@ -254,9 +255,9 @@
     async def _wait_read_barrier(
         self, retry_duration: float
     ) -> Result[int, Failure]:
-        end = time.monotonic() + retry_duration
+        end = read_clock() + retry_duration
         result = await self.replicator.read_barrier()
-        while isinstance(result, Failed) and time.monotonic() < end:
+        while isinstance(result, Failed) and read_clock() < end:
             await asyncio.sleep(RETRY_INTERVAL)
             result = await self.replicator.read_barrier()
         return result
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/nodes.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/nodes.py
@@ -13,6 +13,7 @@
 from pistachiohook_core.subscription_messages import Leave
 from returns.pipeline import is_successful
 
+from ..clocks import read_clock
 from .state_machine import encode_command
 
 if TYPE_CHECKING:
@@ -58,7 +59,7 @@
         """Handle the messages of the nodes, until cancelled."""
         while True:
             incoming = await self.links.receive()
-            now = time.monotonic()
+            now = read_clock()
             if isinstance(incoming.message, Heartbeat):
                 freshness = self.replicator.freshness(now)
                 self._perform(
@@ -74,7 +75,7 @@
     async def update_nodes(self) -> None:
         """Expire leases and push new revisions, until cancelled."""
         while True:
-            now = time.monotonic()
+            now = read_clock()
             freshness = self.replicator.freshness(now)
             leader = self.replicator.leader
             self._perform(self.subscriptions.tick(freshness, leader, now))
@@ -94,7 +95,7 @@
             names = self.subscriptions.list_unconfirmed()
             result = await self.replicator.read_barrier()
             if is_successful(result):
-                freshness = self.replicator.freshness(time.monotonic())
+                freshness = self.replicator.freshness(read_clock())
                 self._perform(
                     self.subscriptions.confirm_current(names, freshness)
                 )
@@ -105,9 +106,7 @@
         """Propose the due reports about the nodes, until cancelled."""
         failing = False
         while True:
-            command = self.subscriptions.make_report(
-                time.monotonic(), time.time()
-            )
+            command = self.subscriptions.make_report(read_clock(), time.time())
             if command is None:
                 await asyncio.sleep(TICK_INTERVAL / 2)
                 continue
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/peers.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/peers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -13,6 +12,7 @@
 from pistachiohook_core.configuration.forwarding import ForwardedOutcome
 from pistachiohook_core.configuration.forwarding import ForwardedProposal
 
+from ..clocks import read_clock
 from ..links import LinkClient
 from ..links import LinkServer
 
@@ -68,7 +68,7 @@
     server: LinkServer
     clients: dict[str, LinkClient]
     dial: Callable[[str], LinkClient | None] | None = None
-    clock: Callable[[], float] = time.monotonic
+    clock: Callable[[], float] = read_clock
     _activity: dict[str, _LinkActivity] = attrs.field(factory=dict)
     _readers: set[asyncio.Task[None]] = attrs.field(factory=set)
     _proposals: set[asyncio.Task[None]] = attrs.field(factory=set)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections import Counter
 from contextlib import suppress
-import time
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -51,6 +50,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from ..clocks import read_clock
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
@@ -158,7 +159,7 @@
     seed: int
     timing: Timing = attrs.field(factory=Timing)
     dynamic_membership: DynamicMembership | None = None
-    clock: Callable[[], float] = time.monotonic
+    clock: Callable[[], float] = read_clock
     counts: Counter[str] = attrs.field(factory=Counter)
     failure: Failure | None = None
     applied: int = 0
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/role.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/role.py
@@ -5,7 +5,6 @@
 from functools import partial
 from pathlib import Path
 import secrets
-import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -15,6 +14,7 @@
 from pistachiohook_core.subscription_messages import SUBSCRIPTION_CODEC
 from returns.result import Failure as Failed
 
+from ..clocks import read_clock
 from ..endpoints import Health
 from ..links import LinkServer
 from ..settings import MemberSettings
@@ -74,7 +74,7 @@
 
     def find_health(self) -> Health:
         """Return whether a quorum has recently confirmed this instance."""
-        freshness = self.replicator.freshness(time.monotonic())
+        freshness = self.replicator.freshness(read_clock())
         leader = self.replicator.leader or 'unknown'
         reason = f'leader {leader}, quorum confirmed {freshness:.1f} s ago'
         return Health(freshness <= FRESHNESS_BOUND, reason)
@@ -112,9 +112,7 @@
         raise ValueError(str(tokens.failure()))
     members = table.members or (MemberSettings(name, table.peer, table.api),)
     folder = open_data_folder(Path(table.data_folder))
-    subscriptions = SubscriptionServer(
-        name, LeaseTable(name, time.monotonic())
-    )
+    subscriptions = SubscriptionServer(name, LeaseTable(name, read_clock()))
     state_machine = ControlStateMachine(subscriptions, report)
     peers = connect_peers(name, table.peer, members, keys, report)
     replicator = Replicator(
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/state_machine.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/state_machine.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -19,6 +18,8 @@
 from pistachiohook_core.events import CONTROL_CHANGE_ACCEPTED
 from pistachiohook_core.events import CONTROL_CHANGE_REFUSED
 
+from ..clocks import read_clock
+
 if TYPE_CHECKING:
     from pistachiohook_core.membership.server import SubscriptionServer
 
@@ -53,7 +54,7 @@
             None
         )
         holder = decoded.holder if isinstance(decoded, Members) else None
-        self.subscriptions.handle_applied(transition, holder, time.monotonic())
+        self.subscriptions.handle_applied(transition, holder, read_clock())
         if isinstance(decoded, Change):
             self._log_change(decoded, transition.outcome)
         return OUTCOME_CODEC.encode(transition.outcome)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/main.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/main.py
@@ -9,6 +9,7 @@
 import cyclopts
 from returns.result import Failure as Failed
 
+from .clocks import create_event_loop
 from .composition import run_daemon
 from .running import STATUS_BAD_SETTINGS
 from .settings import read_settings
@@ -31,7 +32,8 @@
         for failure in found.failure():
             print(failure, file=sys.stderr)
         return STATUS_BAD_SETTINGS
-    return asyncio.run(run_daemon(found.unwrap()))
+    with asyncio.Runner(loop_factory=create_event_loop) as runner:
+        return runner.run(run_daemon(found.unwrap()))
 
 
 def main() -> None:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -6,7 +6,6 @@
 from functools import partial
 from pathlib import Path
 import secrets
-import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -33,6 +32,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from ..clocks import read_clock
 from ..control.disk import create_memory_files
 from ..control.disk import open_data_folder
 from ..control.peers import connect_peers_on_demand
@@ -201,7 +201,7 @@
             return
         self.directory.receive_hello(message, now)
         controls, balancers = self.directory.list_for(message)
-        age = self.replicator.freshness(time.monotonic())
+        age = self.replicator.freshness(read_clock())
         welcome = Welcome(
             self.directory.node,
             self.route_state.current.version,
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/subscriber.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/subscriber.py
@@ -26,6 +26,7 @@
 from pistachiohook_core.subscription_messages import Update
 import pynng
 
+from .clocks import read_clock
 from .links import LinkClient
 
 if TYPE_CHECKING:
@@ -96,11 +97,11 @@
 
     def assess_control(self) -> ControlStatus:
         """Return whether control is reachable and its updates are fresh."""
-        return self.subscription.assess_control(time.monotonic())
+        return self.subscription.assess_control(read_clock())
 
     def measure_freshness(self) -> float:
         """Return the time since the last quorum confirmation, in seconds."""
-        return self.subscription.measure_freshness(time.monotonic())
+        return self.subscription.measure_freshness(read_clock())
 
     async def _wait_for_event(self) -> SubscriptionEvent:
         try:
@@ -110,7 +111,7 @@
             return Tick()
 
     def _handle(self, event: SubscriptionEvent) -> None:
-        for action in self.subscription.handle(event, time.monotonic()):
+        for action in self.subscription.handle(event, read_clock()):
             self._perform(action)
 
     def _perform(self, action: SubscriptionAction) -> None:
--- a/tests/platform/loopback.py
+++ b/tests/platform/loopback.py
@@ -14,6 +14,7 @@
 import attrs
 from pistachiohook_core.addresses import Address
 from pistachiohook_core.metrics import Metrics
+from pistachiohook_daemon.clocks import create_event_loop
 from pistachiohook_daemon.keys import LinkKeys
 from pistachiohook_daemon.passthrough.agent import start_agent
 from pistachiohook_daemon.passthrough.balancer import start_balancer
@@ -196,7 +197,7 @@
 class LoopbackPlatform:
     """All roles, callers and targets of a test, in one event loop."""
 
-    loop: object = attrs.field(factory=asyncio.new_event_loop)
+    loop: object = attrs.field(factory=create_event_loop)
     folder: Path = attrs.field(factory=lambda: Path(tempfile.mkdtemp()))
     controls: dict = attrs.field(factory=dict)
     operators: dict = attrs.field(factory=dict)
--- a/tests/platform/path.feature
+++ b/tests/platform/path.feature
@@ -36,6 +36,17 @@
     Then 5 calls through each balancer are answered
     And version 4 is acknowledged by another instance within the test's timeout
 
+  Scenario: After a suspension of the machines nothing counts as recent that was known before
+    When the operator puts version 3 and the targets send heartbeats
+    Then every balancer becomes ready
+    When all machines are suspended for 20 s
+    Then no control instance counts as confirmed by a quorum since then
+    And no balancer would offer a flow to an agent that has not reported since then
+    When the targets send heartbeats
+    Then every balancer becomes ready
+    And 5 calls through each balancer are answered
+    And version 4 is acknowledged by each instance
+
   Scenario: A target that says it is leaving gets no new flow
     When the operator puts version 3 and the targets send heartbeats
     Then every balancer becomes ready
--- a/tests/platform/steps/path_steps.py
+++ b/tests/platform/steps/path_steps.py
@@ -7,6 +7,7 @@
 import errno
 import json
 import socket
+import time
 from types import SimpleNamespace
 
 from behave import given
@@ -16,6 +17,7 @@
 from pistachiohook_core.events import FLOW_DECLINED
 from pistachiohook_core.events import FLOW_OFFERED
 from pistachiohook_core.events import FLOW_REFUSED
+from pistachiohook_daemon.clocks import read_clock
 
 SERVICE_ADDRESS = ('198.18.0.1', 8443)
 
@@ -361,3 +363,50 @@
 def check_reset(context):
     answers = call_many(context, 2)
     assert answers == [None] * len(answers), answers
+
+
+@when('all machines are suspended for {seconds:d} s')
+def suspend(context, seconds):
+    """Let the clock that counts suspensions jump, and no other."""
+    read = time.clock_gettime
+
+    def read_later(clock):
+        return read(clock) + seconds * (clock == time.CLOCK_BOOTTIME)
+
+    time.clock_gettime = read_later
+    context.add_cleanup(setattr, time, 'clock_gettime', read)
+    context.suspended_s = seconds
+
+
+@then('no control instance counts as confirmed by a quorum since then')
+def check_unconfirmed(context):
+    ages = [
+        role.replicator.freshness(read_clock())
+        for role in context.platform.controls.values()
+    ]
+    assert min(ages) >= context.suspended_s, ages
+
+
+@then(
+    'no balancer would offer a flow to an agent that has not reported since'
+    ' then'
+)
+def check_none_reporting(context):
+    now = context.platform.loop.time()
+    counts = [
+        role.balancer.count_agents(now)
+        for role in context.platform.balancers.values()
+    ]
+    assert not any(counts), counts
+
+
+@when('the targets send heartbeats')
+def send_heartbeats(context):
+    for name in context.platform.agents:
+        assert send_heartbeat(context, name) == 200
+
+
+@then('version {version:d} is acknowledged by each instance')
+def check_acknowledged_by_each(context, version):
+    for name in context.platform.operators:
+        check_acknowledged_by(context, version, name)
