--- a/tests/platform/process.feature
+++ b/tests/platform/process.feature
@@ -17,6 +17,28 @@
       | agent    |
       | control  |
 
+  Scenario: Further signals do not cut a stop short
+    Given the settings file of a balancer on loopback
+    When its process is started
+    Then it logs event 1003
+    When it gets SIGTERM
+    Then it logs event 1004
+    When it gets SIGTERM, SIGINT and SIGHUP
+    Then it exits with status 0 after 0.8 s or more
+
+  Scenario Outline: A <role> that is told to stop while it is paused stops in order
+    Given the settings file of a <role> on loopback
+    When its process is started
+    Then it logs event 1003
+    When it gets SIGTERM while it is paused for 0.5 s
+    Then it logs event 1004 and event 1005 and exits with status 0
+
+    Examples:
+      | role     |
+      | balancer |
+      | agent    |
+      | control  |
+
   Scenario Outline: A process with <fault> reports it and exits with status 2
     Given the settings file of a balancer on loopback
     When a process with <fault> is started
--- a/tests/platform/steps/process_steps.py
+++ b/tests/platform/steps/process_steps.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 
 from behave import given
 from behave import then
@@ -136,6 +137,28 @@
     context.process.terminate()
 
 
+@when('it gets SIGTERM, SIGINT and SIGHUP')
+def signal_again(context):
+    context.signalled_at = time.monotonic()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        context.process.send_signal(number)
+
+
+@then('it exits with status {status:d} after {seconds:f} s or more')
+def check_not_cut_short(context, status, seconds):
+    assert context.process.wait(EXIT_TIMEOUT) == status
+    took = time.monotonic() - context.signalled_at
+    assert took >= seconds, took
+
+
+@when('it gets SIGTERM while it is paused for {seconds:f} s')
+def terminate_paused(context, seconds):
+    context.process.send_signal(signal.SIGSTOP)
+    context.process.terminate()
+    time.sleep(seconds)
+    context.process.send_signal(signal.SIGCONT)
+
+
 @then(
     'it logs event {one:d} and event {two:d} and exits with status {status:d}'
 )
