Handle the signals that stop a process before its role serves anything

Cause: handlers of SIGTERM and SIGINT were installed after the role had started and had logged that it had. A process that got one of them in between ended at once, with what it had accepted.

Change: the handlers are installed before the role starts.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/running.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/running.py
@@ -70,6 +70,9 @@
         process; others are raised
     :returns: exit status of the process
     """
+    # Before anything is served: a signal ends the process without a shutdown
+    # as long as it has no handler.
+    stop_requested = _handle_stop_signals()
     try:
         role = await start()
         _freeze_startup_objects()
@@ -79,7 +82,7 @@
         await supervisor.cancel()
         return STATUS_BAD_SETTINGS
     report(ROLE_STARTED, admin=str(admin))
-    status = await _run_until_stopped(supervisor, role, report)
+    status = await _run_until_stopped(stop_requested, supervisor, role, report)
     server.stop()
     report(ROLE_STOPPED, status=status)
     return status
@@ -95,13 +98,21 @@
     gc.enable()
 
 
-async def _run_until_stopped(
-    supervisor: Supervisor, role: Role, report: Report
-) -> int:
+def _handle_stop_signals() -> asyncio.Event:
+    """Return an event that is set by the signals that stop a process."""
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
+    return stop_requested
+
+
+async def _run_until_stopped(
+    stop_requested: asyncio.Event,
+    supervisor: Supervisor,
+    role: Role,
+    report: Report,
+) -> int:
     running = asyncio.create_task(supervisor.run())
     stopped = asyncio.create_task(stop_requested.wait())
     await asyncio.wait({running, stopped}, return_when=asyncio.FIRST_COMPLETED)
--- a/tests/daemon/supervisor/steps/supervisor_steps.py
+++ b/tests/daemon/supervisor/steps/supervisor_steps.py
@@ -7,6 +7,8 @@
 import os
 import selectors
 import signal
+import subprocess
+import sys
 
 from behave import given
 from behave import then
@@ -19,6 +21,33 @@
 from pistachiohook_daemon.supervisor import Supervisor
 from pistachiohook_daemon.supervisor import TaskGivenUpError
 
+#: Runs a role that gets a signal while it starts.
+SIGNALLED_PROGRAM = """
+import asyncio, os, signal, sys
+from pistachiohook_core.addresses import Address
+from pistachiohook_core.metrics import Metrics
+from pistachiohook_daemon.endpoints import Health
+from pistachiohook_daemon.running import Role
+from pistachiohook_daemon.running import run_role
+from pistachiohook_daemon.supervisor import Supervisor
+
+async def shut_down():
+    print('shut down')
+
+async def start():
+    supervisor.supervise('work', asyncio.Event().wait)
+    os.kill(os.getpid(), signal.Signals[sys.argv[1]])
+    return Role(lambda: Health(True, ''), shut_down)
+
+def report(event, **fields):
+    pass
+
+supervisor = Supervisor('test', report)
+address = Address('127.0.0.1', 0)
+running = run_role(start, address, Metrics(), supervisor, report)
+sys.exit(asyncio.run(running))
+"""
+
 
 class VirtualSelector(selectors.SelectSelector):
     """Advances a virtual clock instead of waiting."""
@@ -139,3 +168,20 @@
 @then('the objects created during the start were exempt from collection')
 def check_frozen(context):
     assert context.frozen_count > 0
+
+
+@when('a process gets {name} while its role starts')
+def signal_during_start(context, name):
+    context.finished = subprocess.run(
+        [sys.executable, '-c', SIGNALLED_PROGRAM, name],
+        check=False,
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+
+
+@then('it has shut the role down and exits with status {status:d}')
+def check_shut_down(context, status):
+    assert context.finished.returncode == status, context.finished
+    assert context.finished.stdout == 'shut down\n', context.finished
--- a/tests/daemon/supervisor/supervisor.feature
+++ b/tests/daemon/supervisor/supervisor.feature
@@ -18,3 +18,12 @@
     When the role has started and the process gets SIGTERM
     Then garbage collection was enabled while the role ran
     And the objects created during the start were exempt from collection
+
+  Scenario Outline: A process that gets <signal> while its role starts shuts down in order
+    When a process gets <signal> while its role starts
+    Then it has shut the role down and exits with status 0
+
+    Examples:
+      | signal  |
+      | SIGTERM |
+      | SIGINT  |
