Part the balancer of pass-through services along the life of a flow

Offers, the search for an owner, the flow table with its timers, and the agents as a balancer knows them are modules of their own; state in three classes, decisions in functions. No message, log line or decision changes.

--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -0,0 +1,166 @@
+"""Search of a balancer for the owner of a flow that it does not know."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..events import FLOW_LOST
+from ..events import FLOW_OWNER_LOOKUP
+from .actions import Log
+from .actions import Send
+from .flow_table import FlowEntry
+from .flow_table import FlowEntryState
+from .messages import FindOwner
+from .messages import ForwardedPacket
+from .messages import OwnerReply
+from .messages import UnownedPacket
+from .routes import choose_service
+from .routes import list_services
+from .segments import describe_flow
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..addresses import Address
+    from .actions import Action
+    from .balancer import Balancer
+    from .routes import Route
+    from .segments import Segment
+
+#: Time to wait for the answer of a flow's owner, in seconds, for the same
+#: reasons as for an offer.
+FIND_TIMEOUT = 0.06
+
+#: Largest number of packets that are buffered while the owner of their flow is
+#: searched for. A caller has no more than 16 in flight and retransmits dropped
+#: ones.
+BUFFERED_PACKETS_MAX = 16
+
+
+def find_owner(
+    balancer: Balancer,
+    route: Route,
+    segment: Segment,
+    tried: Iterable[Address],
+    now: float,
+) -> list[Action]:
+    """Ask the agents of a route's services which one owns a flow.
+
+    :param segment: packet of the flow, which is forwarded to the owner
+    :param tried: agents that are known not to own the flow
+    """
+    entry = FlowEntry(
+        choose_service(route, segment.flow),
+        FlowEntryState.SEARCHING,
+        now,
+        tried=set(tried),
+        buffered=[segment],
+    )
+    balancer.flows.store(segment.flow, entry)
+    balancer.flows.start_timer(segment.flow, entry, now + FIND_TIMEOUT)
+    balancer.counts['owner_searches'] += 1
+    return [
+        Send(
+            view.address,
+            FindOwner(service, segment.flow, segment.acknowledged),
+        )
+        for service in dict.fromkeys(list_services(route))
+        for view in balancer.views.list_service(service)
+        if view.address not in entry.tried
+    ]
+
+
+def handle_unowned_packet(
+    balancer: Balancer, sender: Address, message: UnownedPacket, now: float
+) -> list[Action]:
+    """Handle a packet whose flow the agent that got it does not own."""
+    balancer.counts['packets_strayed'] += 1
+    segment = balancer.segment_format.read_caller(message.packet)
+    route = balancer.table.find(message.flow) if balancer.table else None
+    if segment is None or route is None:
+        return []
+    entry = balancer.flows.get(message.flow)
+    log = Log(
+        FLOW_OWNER_LOOKUP,
+        {'flow': describe_flow(message.flow), 'agent': str(sender)},
+    )
+    if entry is not None and entry.state is FlowEntryState.SEARCHING:
+        buffer_packet(entry, segment)
+        return [log]
+    if entry is not None and entry.agent == sender:
+        entry.agent = _take_possible_owner(entry, sender)
+    if entry is not None and entry.agent is not None:
+        return [
+            log,
+            Send(entry.agent, ForwardedPacket(entry.service, segment.raw)),
+        ]
+    tried = {sender} if entry is None else entry.tried | {sender}
+    return [log, *find_owner(balancer, route, segment, tried, now)]
+
+
+def handle_owner_reply(
+    balancer: Balancer, sender: Address, message: OwnerReply
+) -> list[Action]:
+    """Handle the answer of an agent that owns, or may own, a flow."""
+    entry = balancer.flows.get(message.flow)
+    if entry is None or entry.state is not FlowEntryState.SEARCHING:
+        return []
+    if not message.certain:
+        entry.possible_owners.append(sender)
+        return []
+    entry.possible_owners.clear()
+    return _assign_owner(balancer, entry, sender)
+
+
+def _assign_owner(
+    balancer: Balancer, entry: FlowEntry, agent: Address
+) -> list[Action]:
+    entry.state = FlowEntryState.ASSIGNED
+    entry.agent = agent
+    entry.service = balancer.views.find_service(agent, entry.service)
+    buffered, entry.buffered = entry.buffered, []
+    return [
+        Send(agent, ForwardedPacket(entry.service, segment.raw))
+        for segment in buffered
+    ]
+
+
+def end_search(
+    balancer: Balancer, flow: bytes, entry: FlowEntry
+) -> list[Action]:
+    """End a search in which no agent has claimed the flow for certain."""
+    owner = _take_possible_owner(entry, None)
+    if owner is not None:
+        return _assign_owner(balancer, entry, owner)
+    balancer.counts['owners_not_found'] += 1
+    balancer.flows.remove(flow)
+    asked = len(balancer.views.list_service(entry.service))
+    fields = {
+        'flow': describe_flow(flow),
+        'asked': asked,
+        'dropped': len(entry.buffered),
+    }
+    return [Log(FLOW_LOST, fields)]
+
+
+def _take_possible_owner(
+    entry: FlowEntry, former: Address | None
+) -> Address | None:
+    """Return the next agent that may own a flow, or ``None``.
+
+    :param entry: the flow's entry
+    :param former: agent that does not own the flow, if one was tried
+    """
+    if former is not None:
+        entry.tried.add(former)
+    while entry.possible_owners:
+        agent = entry.possible_owners.pop(0)
+        if agent not in entry.tried:
+            return agent
+    return None
+
+
+def buffer_packet(entry: FlowEntry, segment: Segment) -> None:
+    """Buffer a packet until the flow's owner is found; drop it when full."""
+    if len(entry.buffered) < BUFFERED_PACKETS_MAX:
+        entry.buffered.append(segment)
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -694,8 +694,8 @@
 
 def find_load(context, balancer, agent):
     mesh = context.mesh
-    views = mesh.balancers[balancer].views['s']
-    return views[mesh.address(agent)].load
+    views = mesh.balancers[balancer].views
+    return views.find('s', mesh.address(agent)).load
 
 
 @then('"{balancer}" knows that agent "{name}" accepts new flows')
@@ -871,7 +871,7 @@
     mesh.run(bound / 1000)
     flow = owner.flows.get(context.flow.flow)
     assert flow is not None
-    entry = mesh.balancers['b0'].flows[context.flow.flow]
+    entry = mesh.balancers['b0'].flows.get(context.flow.flow)
     assert entry.agent == mesh.address(context.owner), entry
 
 
