Part the agent of pass-through services along the life of a flow

Admission of new flows, flows that the target has accepted, and the states of a flow with how they count as load are modules of their own, as functions on the agent's state. No message, log line or decision changes.

tests/core/passthrough, tests/platform and tests/soak: 187 passed, 0 failed. tests/core/passthrough/flows, faults, pools, placing: 80 passed, 0 failed.

--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
@@ -0,0 +1,255 @@
+"""Admission of new flows by an agent, and those that wait for its target."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..events import FLOW_DECLINED
+from .actions import DeliverToTarget
+from .actions import Log
+from .actions import Send
+from .agent_flows import AgentFlow
+from .agent_flows import AgentFlowState
+from .agent_flows import DeclinedFlow
+from .agent_flows import drop_flow
+from .agent_flows import forward_to_caller
+from .agent_flows import OPENING_CHECK_INTERVAL
+from .messages import DeclineReason
+from .messages import LateAccept
+from .messages import Load
+from .messages import OfferAccepted
+from .messages import OfferDeclined
+from .messages import TargetState
+from .placement import estimate_wait
+from .placement import WAIT_MAX_MS
+from .queueing import choose_last
+from .queueing import choose_next
+from .queueing import count_ahead
+from .queueing import WaitingFlow
+from .segments import describe_flow
+
+if TYPE_CHECKING:
+    from ..addresses import Address
+    from .actions import Action
+    from .agent import Agent
+    from .messages import Offer
+    from .messages import WithdrawOffer
+    from .segments import Segment
+
+#: Flows that are delivered to a target beyond its slots: one, so that its
+#: handshake and request arrive while another flow is being answered. A target
+#: queues few more and sheds the rest, whereas a flow that waits here can still
+#: be opened elsewhere.
+SPARE_FLOWS = 1
+
+#: Share of the longest wait that the queue of an agent may need to drain. The
+#: rest is for requests that take longer than the mean, so that admitted flows
+#: are served and the others are refused at once.
+QUEUE_SHARE = 0.75
+
+
+def handle_offer(
+    agent: Agent, sender: Address, offer: Offer, now: float
+) -> list[Action]:
+    """Accept or decline a flow that a balancer offers."""
+    segment = agent.segment_format.read_caller(offer.packet)
+    if segment is None or not segment.opens:
+        agent.counts['packets_malformed'] += 1
+        return []
+    known = agent.flows.get(segment.flow)
+    if known is not None and known.state is not AgentFlowState.ENDED:
+        known.balancer = sender
+        return _forward_retransmission(agent, segment, known, now)
+    candidate = WaitingFlow(
+        segment.flow,
+        offer.priority,
+        now,
+        now + (offer.prompt_ms - agent.service_ms) / 1000,
+        now + offer.budget_ms / 1000,
+    )
+    reason = _find_decline_reason(agent, offer, candidate, now)
+    if reason is not None:
+        return decline(agent, sender, segment.flow, reason, now)
+    if known is not None:
+        drop_flow(agent, segment.flow, known)
+    flow = AgentFlow(
+        AgentFlowState.WAITING, sender, now, now, opening=segment.raw
+    )
+    agent.flows[segment.flow] = flow
+    agent.in_progress += 1
+    agent.check_within(OPENING_CHECK_INTERVAL, now)
+    declined = agent.declined.pop(segment.flow, None)
+    if declined is not None and declined.accept is not None:
+        return _forward_late_accept(agent, declined.accept, flow, sender, now)
+    agent.waiting[segment.flow] = candidate
+    agent.counts['flows_offered'] += 1
+    load = agent.describe_load(now)
+    accepted = Send(sender, OfferAccepted(segment.flow, load))
+    return [accepted, *_shed_excess(agent, load, now)]
+
+
+def handle_withdraw_offer(
+    agent: Agent, sender: Address, message: WithdrawOffer, now: float
+) -> list[Action]:
+    """Drop an offered flow, unless the target has accepted it."""
+    key = message.flow
+    flow = agent.flows.get(key)
+    pending = (AgentFlowState.WAITING, AgentFlowState.DELIVERED)
+    if flow is not None and flow.state not in pending:
+        return [Send(sender, OfferAccepted(key, agent.describe_load(now)))]
+    # Another balancer may have offered the flow since; its offer stands.
+    if flow is not None and flow.balancer == sender:
+        if flow.state is AgentFlowState.DELIVERED:
+            agent.declined[key] = DeclinedFlow(sender, now)
+        drop_flow(agent, key, flow)
+    return decline(agent, sender, key, DeclineReason.WITHDRAWN, now)
+
+
+def withhold_accept(agent: Agent, segment: Segment) -> list[Action]:
+    """Withhold a late acceptance from the caller and report it."""
+    declined = agent.declined[segment.flow]
+    if not segment.accepts:
+        return []
+    agent.counts['accepts_kept_back'] += 1
+    declined.accept = segment
+    return [Send(declined.balancer, LateAccept(segment.flow))]
+
+
+def deliver_waiting(agent: Agent, now: float) -> list[Action]:
+    """Deliver waiting flows while the target has capacity.
+
+    A target that got a burst of new flows at once would shed those beyond
+    its own short queue.
+    """
+    actions: list[Action] = []
+    while agent.waiting and _has_capacity(agent):
+        chosen = choose_next(agent.waiting.values(), now)
+        assert chosen is not None
+        flow = agent.flows[chosen.key]
+        ended = decline_expired(agent, chosen.key, flow, now)
+        if ended:
+            actions += ended
+            continue
+        del agent.waiting[chosen.key]
+        flow.state = AgentFlowState.DELIVERED
+        flow.touched_at = now
+        actions.append(DeliverToTarget(flow.opening))
+        flow.opening = b''
+    return actions
+
+
+def decline_expired(
+    agent: Agent, key: bytes, flow: AgentFlow, now: float
+) -> list[Action]:
+    """Decline a waiting flow that the target can't serve any more."""
+    if agent.find_state(now) is not TargetState.READY:
+        return _drop_and_decline(
+            agent, key, flow, DeclineReason.NOT_READY, now
+        )
+    if now > agent.waiting[key].expires_at:
+        return _drop_and_decline(
+            agent, key, flow, DeclineReason.OVERLOADED, now
+        )
+    return []
+
+
+def time_out_accept(
+    agent: Agent, key: bytes, flow: AgentFlow, now: float
+) -> list[Action]:
+    """Decline a flow that the target has not accepted in time."""
+    agent.record_unanswered(now)
+    assert flow.balancer is not None
+    agent.declined[key] = DeclinedFlow(flow.balancer, now)
+    return _drop_and_decline(agent, key, flow, DeclineReason.UNANSWERED, now)
+
+
+def decline(
+    agent: Agent,
+    balancer: Address,
+    flow: bytes,
+    reason: DeclineReason,
+    now: float,
+) -> list[Action]:
+    """Tell a balancer that its flow won't be opened here."""
+    agent.counts['flows_declined'] += 1
+    fields = {
+        'flow': describe_flow(flow),
+        'reason': reason.value,
+        'flows': agent.in_progress,
+        'slots': agent.target.slots if agent.target else 0,
+    }
+    declined = OfferDeclined(flow, reason, agent.describe_load(now))
+    return [Log(FLOW_DECLINED, fields), Send(balancer, declined)]
+
+
+def _find_decline_reason(
+    agent: Agent, offer: Offer, candidate: WaitingFlow, now: float
+) -> DeclineReason | None:
+    if offer.service != agent.service:
+        return DeclineReason.WRONG_SERVICE
+    if agent.find_state(now) is not TargetState.READY:
+        return DeclineReason.NOT_READY
+    ahead = agent.in_progress - len(agent.waiting)
+    ahead += count_ahead(agent.waiting.values(), candidate, now)
+    wait = estimate_wait(agent.describe_load(now), ahead)
+    if wait > offer.budget_ms:
+        return DeclineReason.OVERLOADED
+    if wait > offer.patience_ms:
+        return DeclineReason.BUSY
+    return None
+
+
+def _forward_late_accept(
+    agent: Agent, accept: Segment, flow: AgentFlow, sender: Address, now: float
+) -> list[Action]:
+    """Open a newly offered flow that the target has already accepted."""
+    flow.state = AgentFlowState.DELIVERED
+    accepted = OfferAccepted(accept.flow, agent.describe_load(now))
+    return [
+        Send(sender, accepted),
+        forward_to_caller(agent, accept, flow, now),
+    ]
+
+
+def _forward_retransmission(
+    agent: Agent, segment: Segment, flow: AgentFlow, now: float
+) -> list[Action]:
+    """Deliver an opening packet that the caller has retransmitted."""
+    assert flow.balancer is not None
+    accepted = Send(
+        flow.balancer, OfferAccepted(segment.flow, agent.describe_load(now))
+    )
+    if flow.state is AgentFlowState.WAITING:
+        return [accepted]
+    return [DeliverToTarget(segment.raw), accepted]
+
+
+def _shed_excess(agent: Agent, load: Load, now: float) -> list[Action]:
+    """Decline one waiting flow when the queue can't be served in time."""
+    drain_ms = estimate_wait(load, load.flows)
+    if drain_ms <= WAIT_MAX_MS * QUEUE_SHARE:
+        return []
+    last = choose_last(agent.waiting.values(), now)
+    if last is None:
+        return []
+    flow = agent.flows[last.key]
+    return _drop_and_decline(
+        agent, last.key, flow, DeclineReason.OVERLOADED, now
+    )
+
+
+def _drop_and_decline(
+    agent: Agent,
+    key: bytes,
+    flow: AgentFlow,
+    reason: DeclineReason,
+    now: float,
+) -> list[Action]:
+    drop_flow(agent, key, flow)
+    assert flow.balancer is not None
+    return decline(agent, flow.balancer, key, reason, now)
+
+
+def _has_capacity(agent: Agent) -> bool:
+    slots = agent.target.slots if agent.target else 0
+    return agent.in_progress - len(agent.waiting) < slots + SPARE_FLOWS
--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
@@ -0,0 +1,189 @@
+"""Flows of an agent, and how they count as load."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from .actions import DeliverToCaller
+from .activity import FlowActivity
+from .activity import REQUEST_TIMEOUT
+from .activity import SEQUENCE_RANGE
+
+if TYPE_CHECKING:
+    from ..addresses import Address
+    from .agent import Agent
+    from .segments import Segment
+
+#: Interval at which the flows are checked while some are being opened, in
+#: seconds: a third of the time that a target has to accept one.
+OPENING_CHECK_INTERVAL = 0.025
+
+#: The same while no flow is being opened, in seconds. All other timeouts take
+#: seconds.
+CHECK_INTERVAL = 0.5
+
+#: Time after which the caller of a flow that is being opened has given up, in
+#: seconds: it does so after 1.4 without an acceptance.
+OPENING_TIMEOUT = 1.6
+
+#: Time after which an accepted flow whose caller has not completed the
+#: handshake is removed, in seconds. The caller may have got the acceptance,
+#: and sends its next packet again after 0.2, 0.6, 1.4 and 3.0 when it is lost.
+HALF_OPEN_TIMEOUT = 4.0
+
+#: Multiple of the mean handshake time after which a half-open flow no longer
+#: counts as in progress: its caller is probably gone, and the target runs
+#: nothing for it.
+HANDSHAKE_MULTIPLE = 3.0
+
+#: Time for which a closed flow is kept, in seconds, for packets that its ends
+#: retransmit.
+ENDED_TIMEOUT = 5.0
+
+
+class AgentFlowState(enum.Enum):
+    """State of a flow at an agent."""
+
+    #: The opening packet is queued at the agent.
+    WAITING = 'waiting'
+    #: The opening packet was delivered to the target.
+    DELIVERED = 'offered'
+    #: The target has accepted the flow; it is half-open.
+    ACCEPTED = 'accepted'
+    #: The caller has completed the handshake.
+    OPEN = 'open'
+    #: The caller or the target has closed or reset the flow.
+    ENDED = 'ended'
+
+
+@attrs.define
+class AgentFlow:
+    """A flow that an agent owns.
+
+    :param state: state of the flow
+    :param balancer: balancer that forwarded its last packet; ``None`` when the
+        target sent the first packet that the agent has seen
+    :param began_at: when its opening packet arrived
+    :param touched_at: when its last packet passed, in either direction
+    :param accepted_at: when the target accepted it
+    :param sequence: initial sequence number of the target
+    :param opening: its opening packet while it waits
+    :param counted: whether it counts as in progress: it is being opened, or
+        its request is unanswered
+    :param expected: share of a slot that its later requests are expected to
+        occupy, while it is open and does not count as in progress
+    :param activity: progress of its requests
+    """
+
+    state: AgentFlowState
+    balancer: Address | None
+    began_at: float
+    touched_at: float
+    accepted_at: float = 0.0
+    sequence: int = 0
+    opening: bytes = b''
+    counted: bool = True
+    expected: float = 0.0
+    activity: FlowActivity = attrs.field(factory=FlowActivity)
+
+
+@attrs.define
+class DeclinedFlow:
+    """A flow that was declined after its opening packet was delivered.
+
+    :param balancer: balancer that had offered it
+    :param declined_at: when it was declined
+    :param accept: the target's late acceptance, which the caller has not been
+        sent
+    """
+
+    balancer: Address
+    declined_at: float
+    accept: Segment | None = None
+
+
+def forward_to_caller(
+    agent: Agent, segment: Segment, flow: AgentFlow, now: float
+) -> DeliverToCaller:
+    """Forward a packet of the target, and note that it accepts the flow."""
+    flow.touched_at = now
+    if segment.accepts and flow.state is AgentFlowState.DELIVERED:
+        flow.state = AgentFlowState.ACCEPTED
+        flow.accepted_at = now
+        flow.sequence = segment.sequence
+    agent.counts['packets_to_callers'] += 1
+    return DeliverToCaller(segment.flow, segment.raw)
+
+
+def set_counted(agent: Agent, flow: AgentFlow, counted: bool) -> None:
+    """Set whether a flow counts as in progress."""
+    agent.expected -= flow.expected
+    flow.expected = 0.0
+    if flow.counted != counted:
+        flow.counted = counted
+        agent.in_progress += 1 if counted else -1
+
+
+def become_idle(agent: Agent, key: bytes, flow: AgentFlow) -> None:
+    """Count the later requests of an open flow instead of the flow."""
+    set_counted(agent, flow, False)
+    if flow.state is AgentFlowState.OPEN:
+        flow.expected = agent.duty_cycles.find_duty(key)
+        agent.expected += flow.expected
+
+
+def drop_flow(agent: Agent, key: bytes, flow: AgentFlow) -> None:
+    """Remove a flow, also if it waits."""
+    del agent.flows[key]
+    set_counted(agent, flow, False)
+    agent.waiting.pop(key, None)
+
+
+def is_abandoned(agent: Agent, flow: AgentFlow, age: float) -> bool:
+    """Tell whether a flow in progress no longer occupies a slot.
+
+    Its caller has not completed the handshake, has sent no request after
+    it, or has left without closing the flow.
+    """
+    if flow.activity.busy_since is not None:
+        return age > REQUEST_TIMEOUT
+    pending = (AgentFlowState.ACCEPTED, AgentFlowState.OPEN)
+    abandoned_after = agent.handshake_time * HANDSHAKE_MULTIPLE
+    return flow.state in pending and age > abandoned_after
+
+
+def find_lifetime(agent: Agent, flow: AgentFlow) -> float:
+    """Return how long a flow is kept without a packet, in seconds."""
+    if flow.state is AgentFlowState.ACCEPTED:
+        return HALF_OPEN_TIMEOUT
+    if flow.state is AgentFlowState.ENDED:
+        return ENDED_TIMEOUT
+    return agent.idle_timeout
+
+
+def is_opening(flow: AgentFlow) -> bool:
+    """Tell whether a flow is in a state with a timeout below a second.
+
+    It waits for its target's acceptance, or counts as in progress before its
+    first request.
+    """
+    if flow.state in (AgentFlowState.WAITING, AgentFlowState.DELIVERED):
+        return True
+    return flow.counted and flow.activity.busy_since is None
+
+
+def is_open_elsewhere(flow: AgentFlow, acknowledged: int) -> bool:
+    """Tell whether a caller has opened a flow at another target.
+
+    :param flow: the flow as this agent knows it
+    :param acknowledged: acknowledgement number of a packet of the caller other
+        than the opening one
+    """
+    if flow.state in (AgentFlowState.WAITING, AgentFlowState.DELIVERED):
+        return True
+    # The first packet after the opening one acknowledges the number after it.
+    ahead = (acknowledged - flow.sequence) % SEQUENCE_RANGE
+    return flow.state is AgentFlowState.ACCEPTED and ahead != 1
--- /dev/null
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -0,0 +1,225 @@
+"""Flows that an agent's target has accepted: packets, requests, the end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..events import FLOW_ENDED
+from ..events import FLOW_OPENED
+from .actions import DeliverToTarget
+from .actions import Log
+from .actions import Send
+from .admission import decline
+from .agent_flows import AgentFlow
+from .agent_flows import AgentFlowState
+from .agent_flows import become_idle
+from .agent_flows import CHECK_INTERVAL
+from .agent_flows import drop_flow
+from .agent_flows import is_open_elsewhere
+from .agent_flows import OPENING_CHECK_INTERVAL
+from .agent_flows import OPENING_TIMEOUT
+from .agent_flows import set_counted
+from .messages import DeclineReason
+from .messages import LoadReport
+from .messages import OwnerReply
+from .messages import UnownedPacket
+from .segments import describe_flow
+
+if TYPE_CHECKING:
+    from ..addresses import Address
+    from .actions import Action
+    from .agent import Agent
+    from .messages import FindOwner
+    from .messages import ForwardedPacket
+    from .segments import Segment
+
+#: Weight of a new measurement in an exponential moving average.
+MEAN_WEIGHT = 0.1
+
+
+def handle_forwarded_packet(
+    agent: Agent, sender: Address, message: ForwardedPacket, now: float
+) -> list[Action]:
+    """Handle a caller's packet that a balancer has forwarded."""
+    segment = agent.segment_format.read_caller(message.packet)
+    if segment is None:
+        agent.counts['packets_malformed'] += 1
+        return []
+    flow = agent.flows.get(segment.flow)
+    if message.service != agent.service:
+        flow = None
+    elif (
+        flow is None and not segment.opens and agent.may_own_earlier_flows(now)
+    ):
+        flow = adopt_flow(agent, segment.flow, sender, now)
+    elif (
+        flow is not None
+        and not segment.opens
+        and is_open_elsewhere(flow, segment.acknowledged)
+    ):
+        drop_flow(agent, segment.flow, flow)
+        flow = None
+    if flow is None:
+        return _return_unowned(agent, sender, segment, now)
+    return _forward_packet(agent, sender, segment, flow, now)
+
+
+def handle_find_owner(
+    agent: Agent, sender: Address, message: FindOwner, now: float
+) -> list[Action]:
+    """Answer a balancer that searches for the owner of a flow."""
+    if message.service != agent.service:
+        return []
+    flow = agent.flows.get(message.flow)
+    if flow is None:
+        if not agent.may_own_earlier_flows(now):
+            return []
+        return [Send(sender, OwnerReply(message.flow, False))]
+    if is_open_elsewhere(flow, message.acknowledged):
+        return []
+    return [Send(sender, OwnerReply(message.flow, True))]
+
+
+def handle_returned_packet(
+    agent: Agent, segment: Segment, now: float
+) -> list[Action]:
+    """Return to the balancer a packet that the target has returned."""
+    agent.counts['packets_given_back'] += 1
+    flow = agent.flows.get(segment.flow)
+    if flow is None:
+        return []
+    balancer = flow.balancer
+    drop_flow(agent, segment.flow, flow)
+    if balancer is None:
+        return []
+    if segment.opens:
+        reason = DeclineReason.RETURNED
+        return decline(agent, balancer, segment.flow, reason, now)
+    packet = agent.segment_format.restore(segment.raw)
+    return [Send(balancer, UnownedPacket(segment.flow, packet))]
+
+
+def record_answer(
+    agent: Agent, segment: Segment, flow: AgentFlow, now: float
+) -> list[Action]:
+    """Free the slot of a request whose answer begins."""
+    elapsed = flow.activity.record_target_data(segment, now)
+    if elapsed is None:
+        return []
+    agent.duty_cycles.record_busy(segment.flow, elapsed)
+    alone_ms = elapsed * 1000 / flow.activity.shared_by
+    agent.service_ms += (alone_ms - agent.service_ms) * MEAN_WEIGHT
+    if flow.state is AgentFlowState.ENDED:
+        return []
+    become_idle(agent, segment.flow, flow)
+    return _report_free_slot(agent, flow, now)
+
+
+def adopt_flow(
+    agent: Agent, key: bytes, balancer: Address | None, now: float
+) -> AgentFlow:
+    """Add a flow that the target may have opened before this start."""
+    flow = AgentFlow(AgentFlowState.OPEN, balancer, now, now, counted=False)
+    agent.flows[key] = flow
+    become_idle(agent, key, flow)
+    agent.check_within(CHECK_INTERVAL, now)
+    agent.counts['flows_adopted'] += 1
+    return flow
+
+
+def end_flow(
+    agent: Agent, key: bytes, flow: AgentFlow, now: float
+) -> list[Action]:
+    """Note that the caller or the target has ended a flow."""
+    if flow.state is AgentFlowState.ENDED:
+        return []
+    occupied = flow.counted
+    set_counted(agent, flow, False)
+    flow.state = AgentFlowState.ENDED
+    activity = flow.activity
+    if activity.busy_since is None and activity.idle_since is not None:
+        agent.duty_cycles.record_idle(key, now - activity.idle_since)
+    fields = {
+        'flow': describe_flow(key),
+        'requests': activity.requests,
+        'served_ms': round(activity.busy * 1000, 1),
+        'unanswered': activity.busy_since is not None,
+        'age_ms': round((now - flow.began_at) * 1000, 1),
+        'flows': agent.in_progress,
+    }
+    log = Log(FLOW_ENDED, fields)
+    return [log, *(_report_free_slot(agent, flow, now) if occupied else ())]
+
+
+def _forward_packet(
+    agent: Agent,
+    sender: Address,
+    segment: Segment,
+    flow: AgentFlow,
+    now: float,
+) -> list[Action]:
+    flow.balancer = sender
+    if flow.state is AgentFlowState.WAITING:
+        return []
+    actions: list[Action] = [DeliverToTarget(segment.raw)]
+    if segment.opens:
+        return actions
+    flow.touched_at = now
+    if flow.state is AgentFlowState.ACCEPTED:
+        elapsed = min(now - flow.accepted_at, OPENING_TIMEOUT)
+        agent.handshake_time += (elapsed - agent.handshake_time) * MEAN_WEIGHT
+        set_counted(agent, flow, True)
+        agent.check_within(OPENING_CHECK_INTERVAL, now)
+        flow.state = AgentFlowState.OPEN
+        opening_ms = round((now - flow.began_at) * 1000, 1)
+        fields = {
+            'flow': describe_flow(segment.flow),
+            'opening_ms': opening_ms,
+            'flows': agent.in_progress,
+        }
+        actions.append(Log(FLOW_OPENED, fields))
+    if flow.state is AgentFlowState.OPEN:
+        _record_request(agent, segment, flow, now)
+    if segment.ends or segment.resets:
+        actions += end_flow(agent, segment.flow, flow, now)
+    return actions
+
+
+def _return_unowned(
+    agent: Agent, sender: Address, segment: Segment, now: float
+) -> list[Action]:
+    agent.counts['packets_sent_back'] += 1
+    if segment.opens:
+        reason = DeclineReason.NOT_READY
+        return decline(agent, sender, segment.flow, reason, now)
+    return [Send(sender, UnownedPacket(segment.flow, segment.raw))]
+
+
+def _record_request(
+    agent: Agent, segment: Segment, flow: AgentFlow, now: float
+) -> None:
+    """Occupy a slot for a request that begins."""
+    activity = flow.activity
+    if not activity.record_caller_data(segment, now):
+        return
+    if activity.idle_since is not None:
+        pause = now - activity.idle_since
+        agent.duty_cycles.record_idle(segment.flow, pause)
+    set_counted(agent, flow, True)
+    slots = max(1, agent.target.slots if agent.target else 1)
+    delivered = agent.in_progress - len(agent.waiting)
+    activity.shared_by = max(1.0, delivered / slots)
+
+
+def _report_free_slot(
+    agent: Agent, flow: AgentFlow, now: float
+) -> list[Action]:
+    """Report the load to the balancer of a flow that has freed a slot.
+
+    At a load peak, a free slot is filled sooner than the next regular
+    report is due. Without this report, balancers would overload one target
+    while slots of others stay unused.
+    """
+    if flow.balancer is None:
+        return []
+    return [Send(flow.balancer, LoadReport(agent.describe_load(now)))]
