Tell callers at once when no target has their flow any more

Cause: after a loss of power, or when a target has restarted, callers go on sending on flows that no target has.

Change: in a search, agents without the flow say so. When all agents of the route's services have, and none may be missing (the balancer has run for 3 s, and no agent has been lost without having said that it leaves within the longest duration of a flow), the caller gets a reset with the number that it acknowledges. A target that may have the flow, since its agent has started later, is tried first.

Before: the three scenarios of flows.feature that expect a reset fail. After: they pass, and no reset is sent while an agent does not answer, has been lost, or the balancer has just started.

--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -96,6 +96,11 @@
     'No agent holds a flow; its packets were dropped.',
     'Look for an agent or target of the service that has stopped.',
 )
+FLOW_GONE = Event(
+    2108,
+    Level.INFO,
+    'A flow was reset; no target has it any more.',
+)
 ROUTES_CHANGED = Event(
     2105, Level.INFO, 'The balancer applies another version of the routes.'
 )
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/actions.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/actions.py
@@ -26,12 +26,15 @@
 
 @attrs.frozen
 class ResetCaller:
-    """Send a reset to a caller whose flow is refused.
+    """Send a reset to a caller whose flow is refused or no longer exists.
 
     :param flow: key of the flow
+    :param sequence: sequence number of the reset: any for a flow that is not
+        open, else the one that the caller has acknowledged last
     """
 
     flow: bytes
+    sequence: int = 0
 
 
 @attrs.frozen
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_views.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_views.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from .messages import TargetState
 from .placement import AgentView
 from .placement import find_report_timeout
 from .placement import is_reporting
@@ -29,6 +30,7 @@
 
     _views: dict[str, dict[Address, AgentView]] = attrs.field(factory=dict)
     _services: dict[Address, str] = attrs.field(factory=dict)
+    _lost_at: dict[str, float] = attrs.field(factory=dict)
 
     def list_service(self, service: str) -> Collection[AgentView]:
         """Return the agents of a service."""
@@ -57,8 +59,19 @@
             > max(AGENT_TIMEOUT, find_report_timeout(view.load, zone))
         ]
         for address in silent:
+            service = self._services[address]
+            view = self._views[service][address]
+            if view.load.state is not TargetState.LEAVING:
+                self._lost_at[service] = now
             self._remove(address)
 
+    def find_last_loss(self, service: str) -> float:
+        """Return when an agent was removed that had not said it was leaving.
+
+        Its target may still have flows.
+        """
+        return self._lost_at.get(service, float('-inf'))
+
     def record_load(
         self, sender: Address, load: Load, now: float, flow: bytes = b''
     ) -> None:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -121,11 +121,13 @@
     :param flow: key of the flow
     :param acknowledged: acknowledgement number of the packet that is to be
         forwarded to the owner
+    :param explicit: whether agents that don't own the flow answer too
     """
 
     service: str
     flow: bytes
     acknowledged: int
+    explicit: bool = False
 
 
 @attrs.frozen
@@ -201,7 +203,7 @@
 class OwnerReply:
     """Answers :class:`FindOwner`.
 
-    An agent that does not own the flow sends no answer.
+    An agent that does not own the flow sends :class:`NotOwner` or no answer.
 
     :param flow: key of the flow
     :param certain: whether the agent knows that it owns the flow; otherwise
@@ -212,6 +214,16 @@
     certain: bool
 
 
+@attrs.frozen
+class NotOwner:
+    """Answers :class:`FindOwner` when the target does not have the flow.
+
+    :param flow: key of the flow
+    """
+
+    flow: bytes
+
+
 @attrs.frozen
 class Node:
     """A balancer, agent or control instance that receives messages.
@@ -290,5 +302,6 @@
         10: Welcome,
         11: WithdrawOffer,
         12: LateAccept,
+        13: NotOwner,
     }
 )
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -21,6 +21,7 @@
 from .agent_flows import set_counted
 from .messages import DeclineReason
 from .messages import LoadReport
+from .messages import NotOwner
 from .messages import OwnerReply
 from .messages import UnownedPacket
 from .segments import describe_flow
@@ -68,16 +69,17 @@
     agent: Agent, sender: Address, message: FindOwner, now: float
 ) -> list[Action]:
     """Answer a balancer that searches for the owner of a flow."""
-    if message.service != agent.service:
-        return []
     flow = agent.flows.get(message.flow)
-    if flow is None:
-        if not agent.may_own_earlier_flows(now):
-            return []
+    own_service = message.service == agent.service
+    if own_service and flow is None and agent.may_own_earlier_flows(now):
         return [Send(sender, OwnerReply(message.flow, False))]
-    if is_open_elsewhere(flow, message.acknowledged):
-        return []
-    return [Send(sender, OwnerReply(message.flow, True))]
+    if (
+        own_service
+        and flow is not None
+        and not is_open_elsewhere(flow, message.acknowledged)
+    ):
+        return [Send(sender, OwnerReply(message.flow, True))]
+    return [Send(sender, NotOwner(message.flow))] if message.explicit else []
 
 
 def handle_returned_packet(
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -4,14 +4,17 @@
 
 from typing import TYPE_CHECKING
 
+from ..events import FLOW_GONE
 from ..events import FLOW_LOST
 from ..events import FLOW_OWNER_LOOKUP
 from .actions import Log
+from .actions import ResetCaller
 from .actions import Send
 from .flow_table import FlowEntry
 from .flow_table import FlowEntryState
 from .messages import FindOwner
 from .messages import ForwardedPacket
+from .messages import NotOwner
 from .messages import OwnerReply
 from .messages import UnownedPacket
 from .routes import choose_service
@@ -31,6 +34,15 @@
 #: reasons as for an offer.
 FIND_TIMEOUT = 0.06
 
+#: Time after the start of a balancer in which it may not know all agents yet,
+#: in seconds. Each reports to it as soon as control lists it, and an agent
+#: that restarts meanwhile does so a second later.
+SETTLING_TIME = 3.0
+
+#: Time for which the target of an agent that is no longer heard may have
+#: flows, in seconds: the longest duration of a flow.
+FLOW_AGE_MAX = 60.0
+
 #: Largest number of packets that are buffered while the owner of their flow is
 #: searched for. A caller has no more than 16 in flight and retransmits dropped
 #: ones.
@@ -49,27 +61,51 @@
     :param segment: packet of the flow, which is forwarded to the owner
     :param tried: agents that are known not to own the flow
     """
+    services = tuple(dict.fromkeys(list_services(route)))
+    views = [
+        (service, view.address)
+        for service in services
+        for view in balancer.views.list_service(service)
+        if view.address not in tried
+    ]
+    explicit = _knows_all_agents(balancer, services, now)
     entry = FlowEntry(
         choose_service(route, segment.flow),
         FlowEntryState.SEARCHING,
         now,
         tried=set(tried),
         buffered=[segment],
+        unheard={agent for _, agent in views} if explicit else None,
     )
     balancer.flows.store(segment.flow, entry)
     balancer.flows.start_timer(segment.flow, entry, now + FIND_TIMEOUT)
     balancer.counts['owner_searches'] += 1
+    if explicit and not views:
+        return end_search(balancer, segment.flow, entry)
     return [
         Send(
-            view.address,
-            FindOwner(service, segment.flow, segment.acknowledged),
+            agent,
+            FindOwner(service, segment.flow, segment.acknowledged, explicit),
         )
-        for service in dict.fromkeys(list_services(route))
-        for view in balancer.views.list_service(service)
-        if view.address not in entry.tried
+        for service, agent in views
     ]
 
 
+def _knows_all_agents(
+    balancer: Balancer, services: Iterable[str], now: float
+) -> bool:
+    """Tell whether every target of some services has an agent known here.
+
+    Only then the answers of all agents show that no target has a flow.
+    """
+    if now - balancer.started_at < SETTLING_TIME:
+        return False
+    return all(
+        now - balancer.views.find_last_loss(service) > FLOW_AGE_MAX
+        for service in services
+    )
+
+
 def handle_unowned_packet(
     balancer: Balancer, sender: Address, message: UnownedPacket, now: float
 ) -> list[Action]:
@@ -107,11 +143,32 @@
         return []
     if not message.certain:
         entry.possible_owners.append(sender)
-        return []
+        return _note_answer(balancer, sender, message.flow, entry)
     entry.possible_owners.clear()
     return _assign_owner(balancer, entry, sender)
 
 
+def handle_not_owner(
+    balancer: Balancer, sender: Address, message: NotOwner
+) -> list[Action]:
+    """Handle the answer of an agent whose target does not have a flow."""
+    entry = balancer.flows.get(message.flow)
+    if entry is None or entry.state is not FlowEntryState.SEARCHING:
+        return []
+    entry.tried.add(sender)
+    return _note_answer(balancer, sender, message.flow, entry)
+
+
+def _note_answer(
+    balancer: Balancer, sender: Address, flow: bytes, entry: FlowEntry
+) -> list[Action]:
+    """End a search in which all agents have answered."""
+    if entry.unheard is None:
+        return []
+    entry.unheard.discard(sender)
+    return [] if entry.unheard else end_search(balancer, flow, entry)
+
+
 def _assign_owner(
     balancer: Balancer, entry: FlowEntry, agent: Address
 ) -> list[Action]:
@@ -134,13 +191,19 @@
         return _assign_owner(balancer, entry, owner)
     balancer.counts['owners_not_found'] += 1
     balancer.flows.remove(flow)
-    asked = len(balancer.views.list_service(entry.service))
     fields = {
         'flow': describe_flow(flow),
-        'asked': asked,
+        'asked': len(balancer.views.list_service(entry.service)),
         'dropped': len(entry.buffered),
     }
-    return [Log(FLOW_LOST, fields)]
+    segment = entry.buffered[-1]
+    if entry.unheard is None or entry.unheard or segment.resets:
+        return [Log(FLOW_LOST, fields)]
+    balancer.counts['flows_gone'] += 1
+    return [
+        Log(FLOW_GONE, fields),
+        ResetCaller(flow, segment.acknowledged),
+    ]
 
 
 def _take_possible_owner(
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/segments.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/segments.py
@@ -55,13 +55,14 @@
     :param read_target: decodes a packet that a target sent or returned, with
         the flow's key in the caller's direction; ``None`` when malformed
     :param restore: rebuilds a returned packet as its caller sent it
-    :param make_reset: builds a reset for the caller of a flow
+    :param make_reset: builds a reset with a sequence number for the caller of
+        a flow
     """
 
     read_caller: Callable[[bytes], Segment | None]
     read_target: Callable[[bytes], Segment | None]
     restore: Callable[[bytes], bytes]
-    make_reset: Callable[[bytes], bytes]
+    make_reset: Callable[[bytes, int], bytes]
 
 
 def make_flow(
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
@@ -229,16 +229,17 @@
             match action:
                 case Send(address, message):
                     self.send(address, message)
-                case ResetCaller(flow):
-                    self._send_reset(flow)
+                case ResetCaller(flow, sequence):
+                    self._send_reset(flow, sequence)
                 case Log(event, fields):
                     self.report(event, **fields)
         self._timer.set(self.balancer.find_next_deadline())
 
-    def _send_reset(self, flow: bytes) -> None:
+    def _send_reset(self, flow: bytes, sequence: int) -> None:
         caller = write_host(read_flow(flow)[0])
         address = Address(caller, self.settings.entry.port)
-        self.entry.send(self.balancer.segment_format.make_reset(flow), address)
+        reset = self.balancer.segment_format.make_reset(flow, sequence)
+        self.entry.send(reset, address)
 
     def _expire(self) -> None:
         now = asyncio.get_running_loop().time()
--- a/tests/core/passthrough/flows.feature
+++ b/tests/core/passthrough/flows.feature
@@ -187,6 +187,45 @@
     Then at most 60 messages were sent for it
     And no target has received a packet of it
 
+  Scenario: A caller is told when no target has its flow any more
+    Given 1 balancers in zone "x" with 12 agents
+    And a caller has opened a flow of 9000 ms through "b0"
+    When all agents and "b0" have restarted 0.5 s after their targets, and the caller sends another packet
+    Then the flow was not reset
+    When 3.2 s have passed and the caller sends another packet
+    Then the flow was reset within 5 ms, with the number that the caller acknowledges
+    And no target has received a packet of it
+
+  Scenario Outline: A caller is not told that its flow is gone while <what>
+    Given 1 balancers in zone "x" with 12 agents
+    And a caller has opened a flow of 9000 ms through "b0"
+    When all agents and "b0" have restarted 0.5 s after their targets, and the caller sends another packet
+    And <what>
+    And 3.2 s have passed and the caller sends another packet
+    Then the flow was not reset
+
+    Examples:
+      | what                              |
+      | an agent does not answer          |
+      | an agent has been silent for 12 s |
+
+  Scenario: A target that may have a flow is tried before its caller is told that it is gone
+    Given 1 balancers in zone "x" with 12 agents
+    And a caller has opened a flow of 9000 ms through "b0"
+    When all agents and "b0" have restarted 0.5 s after their targets, and the caller sends another packet
+    And an agent starts again, and its target has not
+    And 3.2 s have passed and the caller sends another packet
+    Then the flow was reset within 10 ms, with the number that the caller acknowledges
+    And only one target has received packets of it
+
+  Scenario: A caller whose target has restarted alone is told at once
+    Given 1 balancers in zone "x" with 12 agents
+    And a caller has opened a flow of 9000 ms through "b0"
+    And 4 s have passed
+    When the target of the flow restarts alone and the caller sends another packet
+    Then the flow was reset within 10 ms, with the number that the caller acknowledges
+    And no target has received a packet of it
+
   # Only the two ends of a flow can tell whose answer a packet is.
   Scenario Outline: A late second copy of an answer reaches a port that is used again, and the caller <does>
     Given the caller <does>
--- a/tests/core/passthrough/mesh.py
+++ b/tests/core/passthrough/mesh.py
@@ -72,7 +72,10 @@
 
 
 SEGMENT_FORMAT = SegmentFormat(
-    decode, decode, restore, lambda flow: encode(flow, RESETS)
+    decode,
+    decode,
+    restore,
+    lambda flow, sequence: encode(flow, RESETS, sequence),
 )
 
 
@@ -110,6 +113,8 @@
     deadline: float = float('inf')
     retries: int = 0
     retry: object = None
+    #: Sequence number of the reset that ended it.
+    reset_sequence: int | None = None
 
 
 @attrs.define(eq=False)
@@ -279,9 +284,10 @@
             match action:
                 case Send():
                     self.send(name, action)
-                case ResetCaller(flow):
+                case ResetCaller(flow, sequence):
                     when = self.now + CALLER_MS / 1000
-                    self.at(when, self.receive_at_caller, encode(flow, RESETS))
+                    reset = encode(flow, RESETS, sequence)
+                    self.at(when, self.receive_at_caller, reset)
                 case DeliverToTarget(packet):
                     self.at(self.now, self.deliver_to_target, name, packet)
                 case DeliverToCaller(_, packet):
@@ -476,6 +482,7 @@
         if segment.resets:
             broken = attempt.opened_at is not None
             attempt.outcome = 'broken' if broken else 'refused'
+            attempt.reset_sequence = segment.sequence
             attempt.ended_at = self.now
             if not broken:
                 self.schedule_retry(attempt)
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -1034,3 +1034,79 @@
     began_at = context.calls[0].began_at
     context.mesh.run(began_at + bound / 1000 - context.mesh.now)
     check_none_refused(context)
+
+
+@given('{seconds:g} s have passed')
+def pass_time(context, seconds):
+    context.mesh.run(seconds)
+
+
+@when('{seconds:g} s have passed and the caller sends another packet')
+def send_later(context, seconds):
+    pass_time(context, seconds)
+    context.mesh.send_subsequent(context.flow, 0, 10)
+
+
+@when('an agent does not answer')
+def silence_agent(context):
+    mesh = context.mesh
+    name = next(iter(mesh.agents))
+    # Its reports arrive, and what is asked of it does not.
+    mesh.is_lost = lambda _, receiver: receiver == name
+
+
+@when('an agent has been silent for {seconds:d} s')
+def lose_agent(context, seconds):
+    mesh = context.mesh
+    mesh.agents.pop(next(iter(mesh.agents)))
+    for _ in range(seconds):
+        mesh.run(1)
+        mesh.balancers['b0'].expire_idle(mesh.now)
+
+
+@when('an agent starts again, and its target has not')
+def restart_one_agent(context):
+    mesh = context.mesh
+    name = next(iter(mesh.agents))
+    mesh.start_agent(name)
+    mesh.announce(name, 1)
+
+
+@when(
+    'the target of the flow restarts alone and the caller sends another packet'
+)
+def restart_target_alone(context):
+    mesh = context.mesh
+    for target in mesh.targets.values():
+        target.unknown_flow_packets = 0
+    mesh.targets[context.owner].flows.clear()
+    mesh.announce(context.owner, int(mesh.now * 1000))
+    mesh.run(0.001)
+    mesh.send_subsequent(context.flow, 0, 10)
+
+
+@then('the flow was not reset')
+def check_not_reset(context):
+    context.mesh.run(0.19)
+    assert context.flow.outcome == '', context.flow
+
+
+@then(
+    'the flow was reset within {bound:d} ms, with the number that the caller'
+    ' acknowledges'
+)
+def check_reset(context, bound):
+    mesh = context.mesh
+    sent_at = mesh.now
+    mesh.run(0.19)
+    assert context.flow.outcome == 'broken', context.flow
+    assert (context.flow.ended_at - sent_at) * 1000 <= bound, context.flow
+    assert context.flow.reset_sequence == context.flow.accepted + 1
+
+
+@then('only one target has received packets of it')
+def check_one_tried(context):
+    received = [
+        target.unknown_flow_packets for target in context.mesh.targets.values()
+    ]
+    assert sum(map(bool, received)) == 1, received
--- a/tests/platform/steps/format_steps.py
+++ b/tests/platform/steps/format_steps.py
@@ -120,7 +120,7 @@
 
 @when('a reset for the flow {flow} is built')
 def make_reset(context, flow):
-    context.packet = SEGMENT_FORMAT.make_reset(parse_flow(flow))
+    context.packet = SEGMENT_FORMAT.make_reset(parse_flow(flow), 0)
 
 
 @then('it is "{text}"')
@@ -177,7 +177,7 @@
 )
 def read_random(context, number):
     random = Random(1)
-    whole = SEGMENT_FORMAT.make_reset(b'f' * 12)
+    whole = SEGMENT_FORMAT.make_reset(b'f' * 12, 0)
     context.segments = []
     for _ in range(number):
         random_bytes = random.randbytes(random.randrange(1300))
