Don't wait for agents without a target before a caller is told

Change: an agent that has heard of no target for 3 s has no flows of an earlier start; a search does not wait for an agent that has been silent for 3 s after it said that its target leaves or that it has none.

Before: 3 new scenarios fail. After: all pass.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -286,11 +286,13 @@
 
         These were opened before the agent's start.
         """
-        if now - self.started_at > self.flow_age_max:
-            return False
+        age = now - self.started_at
+        if self.target is None:
+            # A target that runs announces itself more often than this.
+            return age <= TARGET_TIMEOUT
         return (
-            self.target is None
-            or self.target.started < self.started - START_GAP_MS
+            age <= self.flow_age_max
+            and self.target.started < self.started - START_GAP_MS
         )
 
     def record_unanswered(self, now: float) -> None:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_views.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_views.py
@@ -23,6 +23,14 @@
 #: again within this time.
 AGENT_TIMEOUT = 10.0
 
+#: Time within which an agent that has said that its target leaves, or that has
+#: not heard from a target, reports again after a restart, in seconds.
+RESTART_TIME = 3.0
+
+#: States in which an agent that has become silent had no target, or one that
+#: was leaving, so that none of its flows are left.
+NO_TARGET_STATES = (TargetState.LEAVING, TargetState.UNKNOWN)
+
 
 @attrs.define
 class AgentViews:
@@ -61,17 +69,23 @@
         for address in silent:
             service = self._services[address]
             view = self._views[service][address]
-            if view.load.state is not TargetState.LEAVING:
+            if view.load.state not in NO_TARGET_STATES:
                 self._lost_at[service] = now
             self._remove(address)
 
     def find_last_loss(self, service: str) -> float:
-        """Return when an agent was removed that had not said it was leaving.
-
-        Its target may still have flows.
-        """
+        """Return when an agent was removed whose target may still run."""
         return self._lost_at.get(service, float('-inf'))
 
+    def list_owners(self, service: str, now: float) -> list[AgentView]:
+        """Return the agents of a service whose targets may have flows."""
+        return [
+            view
+            for view in self.list_service(service)
+            if view.load.state not in NO_TARGET_STATES
+            or now - view.heard_at <= RESTART_TIME
+        ]
+
     def record_load(
         self, sender: Address, load: Load, now: float, flow: bytes = b''
     ) -> None:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -65,7 +65,7 @@
     views = [
         (service, view.address)
         for service in services
-        for view in balancer.views.list_service(service)
+        for view in balancer.views.list_owners(service, now)
         if view.address not in tried
     ]
     explicit = _knows_all_agents(balancer, services, now)
--- a/tests/core/passthrough/flows.feature
+++ b/tests/core/passthrough/flows.feature
@@ -218,6 +218,20 @@
     Then the flow was reset within 10 ms, with the number that the caller acknowledges
     And only one target has received packets of it
 
+  Scenario Outline: An agent <what> does not keep a caller from being told
+    Given 1 balancers in zone "x" with 12 agents
+    And a caller has opened a flow of 9000 ms through "b0"
+    When all agents and "b0" have restarted 0.5 s after their targets, and the caller sends another packet
+    And another agent has restarted <what>
+    And 3.2 s have passed and the caller sends another packet
+    Then the flow was reset within 5 ms, with the number that the caller acknowledges
+
+    Examples:
+      | what                                            |
+      | without a target                                |
+      | without a target, and has then ended            |
+      | while its target leaves, and has then ended     |
+
   Scenario: A caller whose target has restarted alone is told at once
     Given 1 balancers in zone "x" with 12 agents
     And a caller has opened a flow of 9000 ms through "b0"
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -1110,3 +1110,18 @@
         target.unknown_flow_packets for target in context.mesh.targets.values()
     ]
     assert sum(map(bool, received)) == 1, received
+
+
+@when('another agent has restarted {what}')
+def restart_another(context, what):
+    mesh = context.mesh
+    mesh.add_agent('other', 'x')
+    mesh.start_agent('other')
+    if 'leaves' in what:
+        started = int(mesh.now * 1000) - 500
+        mesh.announce('other', started, leaving=True)
+    mesh.run(0.5)
+    if 'ended' in what:
+        mesh.agents.pop('other')
+        mesh.run(3.1)
+    assert mesh.balancers['b0'].views.find('s', mesh.address('other'))
