Send control instances no lists that they have, and no reports without a target

Each hello of one control instance to another, every second, is answered with the complete list of control instances. Of the first 8 s, 3.7 of 6.4 MB are load reports to balancers of other zones, most of them of agents that have not heard of a target yet.

Change: hellos between control instances name the lists that are known, as those of nodes do, and the answers leave them out. An agent that knows no target reports to the balancers of its own zone alone.

Before: 18 of 18 answers listed nodes; the two new scenarios of tests/platform fail. After: none does; both pass.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
@@ -163,8 +163,17 @@
         )
 
     def _report_to(self, nodes: Iterable[Node]) -> None:
-        report = LoadReport(self.agent.describe_load(self._now()))
+        """Report the load to some balancers.
+
+        Those of other zones get no report until there is something to report:
+        all agents of a system that starts know no target yet.
+        """
+        load = self.agent.describe_load(self._now())
+        report = LoadReport(load)
         for node in nodes:
+            is_remote = node.zone != load.zone
+            if is_remote and load.state is TargetState.UNKNOWN:
+                continue
             address = parse_address(node.address).value_or(None)
             if address is not None:
                 self.send(address, report)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -229,14 +229,20 @@
             known = (balancers, self.directory.list_controls())
             if known != sent or loop.time() - sent_at >= GOSSIP_INTERVAL:
                 sent, sent_at = known, loop.time()
-                self._send_to_controls(
-                    Hello(CONTROL, self.directory.node, balancers)
-                )
+                self._send_to_controls(balancers)
             await asyncio.sleep(HELLO_INTERVAL_UNREADY)
 
-    def _send_to_controls(self, hello: Hello) -> None:
+    def _send_to_controls(self, balancers: tuple[Node, ...]) -> None:
+        """Send a hello with some balancers to the other control instances.
+
+        Each answers with the lists of its nodes, unless they are known here.
+        """
         for address in self.finder.list_controls():
             if address != self.settings.node.link:
+                lists = self.finder.find_lists(address)
+                hello = Hello(
+                    CONTROL, self.directory.node, balancers, lists=lists
+                )
                 self.send(address, hello)
 
     def _report_unknown_outcome(self, version: int, failure: Failure) -> None:
--- a/tests/platform/loopback.py
+++ b/tests/platform/loopback.py
@@ -232,8 +232,8 @@
     def record_event(self, event, **fields):
         self.events.append((event.number, fields))
 
-    def make_node_settings(self, name, link):
-        return NodeSettings(name, 'x', link, self.seeds, find_address(), 6.0)
+    def make_node_settings(self, name, link, zone='x'):
+        return NodeSettings(name, zone, link, self.seeds, find_address(), 6.0)
 
     async def start_controls(self, names):
         self.seeds = tuple(find_address(socket.SOCK_DGRAM) for _ in names)
@@ -267,12 +267,14 @@
         link = find_address(socket.SOCK_DGRAM)
         self.start_control(name, link, find_address(), '')
 
-    async def start_balancer(self, name):
+    async def start_balancer(self, name, zone='x'):
         entry = find_address(socket.SOCK_DGRAM)
         if self.caller is not None:
             entry = Address(f'127.0.0.{2 + len(self.balancers)}', self.port)
         settings = BalancerSettings(
-            self.make_node_settings(name, find_address(socket.SOCK_DGRAM)),
+            self.make_node_settings(
+                name, find_address(socket.SOCK_DGRAM), zone
+            ),
             entry,
         )
         supervisor = self.supervisors[name] = Supervisor(
--- a/tests/platform/path.feature
+++ b/tests/platform/path.feature
@@ -36,6 +36,21 @@
     Then 5 calls through each balancer are answered
     And version 4 is acknowledged by another instance within the test's timeout
 
+  Scenario: Control instances send each other no lists that are known
+    When the operator puts version 3 and the targets send heartbeats
+    Then every balancer becomes ready
+    When the messages of control are counted for 3 s
+    Then control instances have answered each other
+    And no answer has listed any nodes
+
+  Scenario: An agent without a target reports to the balancers of its zone alone
+    When the operator puts version 3
+    And a balancer "far" starts in another zone and the messages of agents are counted for 4 s
+    Then reports were sent to each balancer but "far"
+    When the targets send heartbeats
+    And the messages of agents are counted for 4 s
+    Then reports were sent to each balancer
+
   Scenario: After a suspension of the machines nothing counts as recent that was known before
     When the operator puts version 3 and the targets send heartbeats
     Then every balancer becomes ready
--- a/tests/platform/steps/path_steps.py
+++ b/tests/platform/steps/path_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import copy
 import errno
+from functools import partial
 import json
 import socket
 import time
@@ -17,6 +18,8 @@
 from pistachiohook_core.events import FLOW_DECLINED
 from pistachiohook_core.events import FLOW_OFFERED
 from pistachiohook_core.events import FLOW_REFUSED
+from pistachiohook_core.passthrough.messages import LoadReport
+from pistachiohook_core.passthrough.messages import Welcome
 from pistachiohook_daemon.clocks import read_clock
 
 SERVICE_ADDRESS = ('198.18.0.1', 8443)
@@ -98,6 +101,11 @@
     return response.code
 
 
+@when('the operator puts version {version:d}')
+def put_version(context, version):
+    assert put_route_set(context, encode_route_set(version)) == 200
+
+
 @when('the operator puts version {version:d} and the targets send heartbeats')
 def put_and_announce(context, version):
     assert put_route_set(context, encode_route_set(version)) == 200
@@ -410,3 +418,67 @@
 def check_acknowledged_by_each(context, version):
     for name in context.platform.operators:
         check_acknowledged_by(context, version, name)
+
+
+@when(
+    'a balancer "{name}" starts in another zone and the messages of {role} are'
+    ' counted for {seconds:d} s'
+)
+def start_far_balancer(context, name, role, seconds):
+    context.platform.call(context.platform.start_balancer(name, 'far'))
+    count_messages(context, role, seconds)
+
+
+@when('the messages of {role} are counted for {seconds:d} s')
+def count_messages(context, role, seconds):
+    platform = context.platform
+    roles = platform.controls if role == 'control' else platform.agents
+    context.sent = []
+
+    def record(send, address, message):
+        context.sent.append((address, message))
+        return send(address, message)
+
+    for one in roles.values():
+        one.send, former = partial(record, one.send), one.send
+        context.add_cleanup(setattr, one, 'send', former)
+    platform.call(asyncio.sleep(seconds))
+
+
+@then('control instances have answered each other')
+def check_answered_each_other(context):
+    context.answers = [
+        message
+        for address, message in context.sent
+        if isinstance(message, Welcome) and address in context.platform.seeds
+    ]
+    assert len(context.answers) >= len(context.platform.controls)
+
+
+@then('no answer has listed any nodes')
+def check_no_lists(context):
+    listing = [one for one in context.answers if one.controls]
+    assert not listing, (len(listing), len(context.answers))
+
+
+@then('reports were sent to each balancer but "{name}"')
+def check_reports_but(context, name):
+    check_reported(context, set(context.platform.balancers) - {name})
+
+
+@then('reports were sent to each balancer')
+def check_reports(context):
+    check_reported(context, set(context.platform.balancers))
+
+
+def check_reported(context, names):
+    links = {
+        role.settings.node.link: name
+        for name, role in context.platform.balancers.items()
+    }
+    reported = {
+        links[address]
+        for address, message in context.sent
+        if isinstance(message, LoadReport)
+    }
+    assert reported == names, reported
