Search once for packets that only end a lost flow

Cause: a caller that gives up a lost flow repeats the packet that ends it for about 10 s, up to 8 times, and each of them began a search with a message to every agent of the service.

Change: a flow that no agent has claimed is kept as lost. A packet that only ends it begins another search after 5 s, data begins one at once, and a late claim is used.

Before: the two new scenarios of flows.feature fail. After: they pass.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -34,6 +34,7 @@
 from .owner_search import handle_not_owner
 from .owner_search import handle_owner_reply
 from .owner_search import handle_unowned_packet
+from .owner_search import is_search_due
 from .placement import choose_agent
 
 if TYPE_CHECKING:
@@ -204,6 +205,11 @@
         entry = self.flows.get(segment.flow)
         if entry is None or entry.state is FlowEntryState.REFUSED:
             return find_owner(self, route, segment, frozenset(), now)
+        if entry.state is FlowEntryState.LOST:
+            if not is_search_due(entry, segment, now):
+                self.counts['packets_ending_lost_flows'] += 1
+                return []
+            return find_owner(self, route, segment, frozenset(), now)
         entry.touched_at = now
         entry.handshake_completed = True
         self.flows.store(segment.flow, entry)
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/flow_table.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/flow_table.py
@@ -29,6 +29,8 @@
     ASSIGNED = 'taken'
     #: The agents are being asked which one owns the flow.
     SEARCHING = 'finding'
+    #: No agent has claimed the flow; another packet of it may find one.
+    LOST = 'lost'
     #: The caller was refused; delayed retransmissions are refused too.
     REFUSED = 'refused'
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/offers.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/offers.py
@@ -76,7 +76,8 @@
     """
     entry = balancer.flows.get(segment.flow)
     retransmitted = segment.acknowledged > 0
-    if entry is None or not retransmitted:
+    known = entry is not None and entry.state is not FlowEntryState.LOST
+    if entry is None or not known or not retransmitted:
         service = choose_service(route, segment.flow)
         began_at = (
             arrived_at
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -43,12 +43,26 @@
 #: flows, in seconds: the longest duration of a flow.
 FLOW_AGE_MAX = 60.0
 
+#: Time between two searches for packets that only end a flow, in seconds.
+ENDING_SEARCH_PAUSE = 5.0
+
 #: Largest number of packets that are buffered while the owner of their flow is
 #: searched for. A caller has no more than 16 in flight and retransmits dropped
 #: ones.
 BUFFERED_PACKETS_MAX = 16
 
 
+def is_search_due(entry: FlowEntry, segment: Segment, now: float) -> bool:
+    """Tell whether another search for the owner of a lost flow is worth it.
+
+    A caller that ends a flow repeats its packet for some seconds, and waits
+    for nothing. After a loss of all targets, searches for these packets would
+    keep all agents busy.
+    """
+    only_ends = segment.ends and not segment.length
+    return not only_ends or now - entry.touched_at > ENDING_SEARCH_PAUSE
+
+
 def find_owner(
     balancer: Balancer,
     route: Route,
@@ -130,7 +144,10 @@
             log,
             Send(entry.agent, ForwardedPacket(entry.service, segment.raw)),
         ]
-    tried = {sender} if entry is None else entry.tried | {sender}
+    if entry is None or entry.state is FlowEntryState.LOST:
+        tried = {sender}
+    else:
+        tried = entry.tried | {sender}
     return [log, *find_owner(balancer, route, segment, tried, now)]
 
 
@@ -139,7 +156,10 @@
 ) -> list[Action]:
     """Handle the answer of an agent that owns, or may own, a flow."""
     entry = balancer.flows.get(message.flow)
-    if entry is None or entry.state is not FlowEntryState.SEARCHING:
+    if entry is None:
+        return []
+    late = entry.state is FlowEntryState.LOST and message.certain
+    if entry.state is not FlowEntryState.SEARCHING and not late:
         return []
     if not message.certain:
         entry.possible_owners.append(sender)
@@ -190,7 +210,6 @@
     if owner is not None:
         return _assign_owner(balancer, entry, owner)
     balancer.counts['owners_not_found'] += 1
-    balancer.flows.remove(flow)
     fields = {
         'flow': describe_flow(flow),
         'asked': len(balancer.views.list_service(entry.service)),
@@ -198,7 +217,10 @@
     }
     segment = entry.buffered[-1]
     if entry.unheard is None or entry.unheard or segment.resets:
+        entry.state = FlowEntryState.LOST
+        entry.buffered.clear()
         return [Log(FLOW_LOST, fields)]
+    balancer.flows.remove(flow)
     balancer.counts['flows_gone'] += 1
     return [
         Log(FLOW_GONE, fields),
--- a/tests/core/passthrough/flows.feature
+++ b/tests/core/passthrough/flows.feature
@@ -187,6 +187,21 @@
     Then at most 60 messages were sent for it
     And no target has received a packet of it
 
+  Scenario: Packets that only end a lost flow are not searched for at each repetition
+    Given 1 balancers in zone "x" with 48 agents
+    And a caller has opened a flow of 9000 ms through "b0"
+    When all agents and "b0" have restarted 0.5 s after their targets, and the caller sends another packet
+    And the caller ends the flow and repeats that 5 times within 2 s
+    Then the owner of the flow was searched for at most 2 times
+    When the caller sends data on the flow
+    Then the owner of the flow was searched for once more
+
+  Scenario: A late claim of a flow is used
+    Given 1 balancers in zone "x" with 12 agents
+    And a caller has opened a flow of 9000 ms through "b0"
+    When "b0" has restarted, and the owner claims the next packet 100 ms late
+    Then "b0" knows the owner, and has searched for it once
+
   Scenario: A caller is told when no target has its flow any more
     Given 1 balancers in zone "x" with 12 agents
     And a caller has opened a flow of 9000 ms through "b0"
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -1125,3 +1125,63 @@
         mesh.agents.pop('other')
         mesh.run(3.1)
     assert mesh.balancers['b0'].views.find('s', mesh.address('other'))
+
+
+@when(
+    'the caller ends the flow and repeats that {count:d} times within'
+    ' {seconds:d} s'
+)
+def end_repeatedly(context, count, seconds):
+    mesh = context.mesh
+    # The request of the flow is not repeated any more.
+    context.flow.outcome = 'left'
+    for _ in range(1 + count):
+        mesh.send_subsequent(context.flow, ENDS, 0)
+        mesh.run(seconds / count)
+
+
+def count_searches(context):
+    return context.mesh.balancers['b0'].counts['owner_searches']
+
+
+@then('the owner of the flow was searched for at most {most:d} times')
+def check_searches(context, most):
+    context.searches = count_searches(context)
+    assert 1 <= context.searches <= most, context.searches
+
+
+@when('the caller sends data on the flow')
+def send_data(context):
+    context.mesh.send_subsequent(context.flow, 0, 10)
+    context.mesh.run(0.01)
+
+
+@then('the owner of the flow was searched for once more')
+def check_another_search(context):
+    assert count_searches(context) == context.searches + 1
+
+
+@when(
+    '"{name}" has restarted, and the owner claims the next packet {late:d} ms'
+    ' late'
+)
+def delay_claim(context, name, late):
+    mesh = context.mesh
+    table = mesh.balancers[name].table
+    mesh.balancers[name] = Balancer(
+        'x', SEGMENT_FORMAT, Random(1), started_at=mesh.now
+    )
+    mesh.balancers[name].set_routes(table)
+    # The caller repeats nothing meanwhile.
+    context.flow.outcome = 'waits'
+    await_reports(mesh)
+    mesh.paused_until[context.owner] = mesh.now + late / 1000
+    mesh.send_subsequent(context.flow, 0, 10)
+    mesh.run(0.3)
+
+
+@then('"{name}" knows the owner, and has searched for it once')
+def check_owner_known(context, name):
+    entry = context.mesh.balancers[name].flows.get(context.flow.flow)
+    assert entry.agent == context.mesh.address(context.owner), entry
+    assert count_searches(context) == 1
