--- a/packages/pistachiohook-cli/src/pistachiohook_cli/explanation.py
+++ b/packages/pistachiohook-cli/src/pistachiohook_cli/explanation.py
@@ -12,6 +12,7 @@
 from pistachiohook_core.events import FLOW_ABANDONED
 from pistachiohook_core.events import FLOW_DECLINED
 from pistachiohook_core.events import FLOW_ENDED
+from pistachiohook_core.events import FLOW_GONE
 from pistachiohook_core.events import FLOW_LOST
 from pistachiohook_core.events import FLOW_OFFERED
 from pistachiohook_core.events import FLOW_OPENED
@@ -184,6 +185,7 @@
     opened = last.get(FLOW_OPENED.number)
     ended = last.get(FLOW_ENDED.number)
     lost = last.get(FLOW_LOST.number)
+    gone = last.get(FLOW_GONE.number)
     left = last.get(FLOW_ABANDONED.number)
     if refused is not None:
         yield _explain_refusal(refused, flow_lines)
@@ -195,6 +197,11 @@
         )
     if lost is not None:
         yield f'{lost.instance} found no agent that owns it'
+    if gone is not None:
+        yield (
+            f'{gone.instance} reset it after all {gone.fields.get("asked")} '
+            'agents of its service had said that their targets do not have it'
+        )
     if ended is not None:
         opened_line = last[FLOW_OPENED.number] if opened else None
         opening = (
--- a/tests/cli_explain/explain.feature
+++ b/tests/cli_explain/explain.feature
@@ -25,6 +25,12 @@
     Then the cause of "f" contains "it was open at a1 and its target did not answer: at 2026-01-01T00:00:01.50"
     And 3 lines are shown
 
+  Scenario: No target has the flow any more, and the balancer resets it
+    Given these log lines
+      | second | role     | instance | event | flow | fields                       |
+      | 1.00   | balancer | b1       | 2108  | f    | {"asked": 7, "dropped": 1}   |
+    Then the cause of "f" is "b1 reset it after all 7 agents of its service had said that their targets do not have it"
+
   Scenario: The target answers late
     Given these log lines
       | second | role     | instance | event | flow | fields                                       |
