Wait 6 s before a balancer counts as knowing all agents

A balancer that starts while control is disturbed may be listed to agents later than within 3 s; a wrong reset would break an open flow.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -35,9 +35,9 @@
 FIND_TIMEOUT = 0.06
 
 #: Time after the start of a balancer in which it may not know all agents yet,
-#: in seconds. Each reports to it as soon as control lists it, and an agent
-#: that restarts meanwhile does so a second later.
-SETTLING_TIME = 3.0
+#: in seconds. Each reports to it once control lists it, within a second; while
+#: control is disturbed or the agent restarts too, that takes some more.
+SETTLING_TIME = 6.0
 
 #: Time for which the target of an agent that is no longer heard may have
 #: flows, in seconds: the longest duration of a flow.
