Let an agent own a flow for as long as any routes let it be idle

Cause: an agent forgot a flow after 15 s without a packet, whatever idle timeout the routes set, which it does not know. The flow's next packet was then dropped; now that agents deny flows, its caller would have been told that it is gone, with the flow open at its target.

Change: an open flow is kept for the longest duration of a flow; after 15 s without a packet no further request of it is expected, as before.

Before: the new scenario of flows.feature fails. After: it passes; pools.feature is unchanged.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -22,12 +22,14 @@
 from .agent_flows import CHECK_INTERVAL
 from .agent_flows import DeclinedFlow
 from .agent_flows import drop_flow
+from .agent_flows import EXPECTED_IDLE_MAX
 from .agent_flows import find_lifetime
 from .agent_flows import forward_to_caller
 from .agent_flows import is_abandoned
 from .agent_flows import is_opening
 from .agent_flows import OPENING_CHECK_INTERVAL
 from .agent_flows import OPENING_TIMEOUT
+from .agent_flows import set_counted
 from .messages import FindOwner
 from .messages import ForwardedPacket
 from .messages import Load
@@ -124,7 +126,6 @@
     :param duty_cycles: duty cycles of the flows by route
     :param handshake_time: mean time from a target's acceptance to the caller's
         next packet, in seconds
-    :param idle_timeout: time after which an idle flow is removed, in seconds
     :param flow_age_max: longest duration of a flow, in seconds
     """
 
@@ -133,7 +134,6 @@
     segment_format: SegmentFormat
     started: int
     started_at: float
-    idle_timeout: float = 15.0
     flow_age_max: float = 60.0
     target: TargetAnnouncement | None = None
     flows: dict[bytes, AgentFlow] = attrs.field(factory=dict)
@@ -330,6 +330,8 @@
         if flow.counted and is_abandoned(self, flow, age):
             flow.activity.abandon_request()
             become_idle(self, key, flow)
+        if flow.expected and age > EXPECTED_IDLE_MAX:
+            set_counted(self, flow, False)
         if age > find_lifetime(self, flow):
             drop_flow(self, key, flow)
         return []
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
@@ -39,6 +39,11 @@
 #: nothing for it.
 HANDSHAKE_MULTIPLE = 3.0
 
+#: Time without a packet after which no further request of an open flow is
+#: expected, in seconds: pooled flows are used again sooner, and a caller that
+#: is gone sends nothing.
+EXPECTED_IDLE_MAX = 15.0
+
 #: Time for which a closed flow is kept, in seconds, for packets that its ends
 #: retransmit.
 ENDED_TIMEOUT = 5.0
@@ -156,12 +161,16 @@
 
 
 def find_lifetime(agent: Agent, flow: AgentFlow) -> float:
-    """Return how long a flow is kept without a packet, in seconds."""
+    """Return how long a flow is kept without a packet, in seconds.
+
+    An agent doesn't know after which time the routes let a flow be removed. If
+    it forgot a flow that its target has, it would deny it.
+    """
     if flow.state is AgentFlowState.ACCEPTED:
         return HALF_OPEN_TIMEOUT
     if flow.state is AgentFlowState.ENDED:
         return ENDED_TIMEOUT
-    return agent.idle_timeout
+    return agent.flow_age_max
 
 
 def is_opening(flow: AgentFlow) -> bool:
--- a/tests/core/passthrough/flows.feature
+++ b/tests/core/passthrough/flows.feature
@@ -255,6 +255,17 @@
     Then the flow was reset within 10 ms, with the number that the caller acknowledges
     And no target has received a packet of it
 
+  Scenario: An agent owns a flow for as long as any routes let it be idle
+    Given 1 balancers in zone "x" with 3 agents
+    And a caller has opened a flow of 45000 ms through "b0"
+    When the flow is idle for 16 s
+    Then its agent expects no further request of it
+    When the flow is idle for 20 s and the caller sends another packet
+    Then the flow was not reset
+    And its agent owns the flow
+    When the flow is idle for 61 s
+    Then its agent has forgotten the flow
+
   # Only the two ends of a flow can tell whose answer a packet is.
   Scenario Outline: A late second copy of an answer reaches a port that is used again, and the caller <does>
     Given the caller <does>
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -1185,3 +1185,34 @@
     entry = context.mesh.balancers[name].flows.get(context.flow.flow)
     assert entry.agent == context.mesh.address(context.owner), entry
     assert count_searches(context) == 1
+
+
+@when('the flow is idle for {seconds:d} s')
+def let_flow_idle(context, seconds):
+    # The request of the flow is not repeated any more.
+    context.flow.outcome = 'waits'
+    context.mesh.run(seconds)
+    context.flow.outcome = ''
+
+
+@when('the flow is idle for {seconds:d} s and the caller sends another packet')
+def send_after_idle(context, seconds):
+    let_flow_idle(context, seconds)
+    mesh = context.mesh
+    mesh.balancers['b0'].expire_idle(mesh.now)
+    mesh.send_subsequent(context.flow, 0, 0)
+
+
+@then('its agent expects no further request of it')
+def check_not_expected(context):
+    assert context.mesh.agents[context.owner].expected == 0.0
+
+
+@then('its agent owns the flow')
+def check_owned(context):
+    assert context.flow.flow in context.mesh.agents[context.owner].flows
+
+
+@then('its agent has forgotten the flow')
+def check_forgotten(context):
+    assert context.flow.flow not in context.mesh.agents[context.owner].flows
