Reset no flow whose agent is stopped and whose target goes on

Change: a stopping agent reports its target as down, not as leaving. A search waits for every agent but those that have said for 3 s that they have no target. A balancer counts as knowing all agents after 15 s: longer than agents are away.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -181,9 +181,9 @@
         """Return the state of the target."""
         if self.target is None:
             return TargetState.UNKNOWN
-        if self.target.leaving or self.stopping:
+        if self.target.leaving:
             return TargetState.LEAVING
-        if now < self._down_until:
+        if self.stopping or now < self._down_until:
             return TargetState.DOWN
         return TargetState.READY
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_views.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_views.py
@@ -23,13 +23,9 @@
 #: again within this time.
 AGENT_TIMEOUT = 10.0
 
-#: Time within which an agent that has said that its target leaves, or that has
-#: not heard from a target, reports again after a restart, in seconds.
-RESTART_TIME = 3.0
-
-#: States in which an agent that has become silent had no target, or one that
-#: was leaving, so that none of its flows are left.
-NO_TARGET_STATES = (TargetState.LEAVING, TargetState.UNKNOWN)
+#: Time without an announcement after which an agent has no target, in
+#: seconds: a target that runs announces itself more often.
+TARGET_WAIT = 3.0
 
 
 @attrs.define
@@ -69,7 +65,8 @@
         for address in silent:
             service = self._services[address]
             view = self._views[service][address]
-            if view.load.state not in NO_TARGET_STATES:
+            left = view.load.state is TargetState.LEAVING
+            if not left and not _has_no_target(view):
                 self._lost_at[service] = now
             self._remove(address)
 
@@ -77,13 +74,14 @@
         """Return when an agent was removed whose target may still run."""
         return self._lost_at.get(service, float('-inf'))
 
-    def list_owners(self, service: str, now: float) -> list[AgentView]:
+    def list_owners(
+        self, service: str, zone: str, now: float
+    ) -> list[AgentView]:
         """Return the agents of a service whose targets may have flows."""
         return [
             view
             for view in self.list_service(service)
-            if view.load.state not in NO_TARGET_STATES
-            or now - view.heard_at <= RESTART_TIME
+            if not _has_no_target(view) or is_reporting(view, zone, now)
         ]
 
     def record_load(
@@ -102,6 +100,10 @@
         view.remove_offer(flow)
         view.suspect = False
         view.heard_at = now
+        if load.state is not TargetState.UNKNOWN:
+            view.unknown_since = None
+        elif view.unknown_since is None:
+            view.unknown_since = now
         # A start time before the known one counts as a restart too, since the
         # wall clock may jump back.
         restarted = load.started != view.load.started
@@ -117,3 +119,9 @@
         previous = self._services.pop(address, None)
         if previous is not None:
             del self._views[previous][address]
+
+
+def _has_no_target(view: AgentView) -> bool:
+    """Tell whether an agent had no target when it was last heard."""
+    since = view.unknown_since
+    return since is not None and view.heard_at - since >= TARGET_WAIT
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -16,7 +16,7 @@
     READY = 'ready'
     #: The target drains: it accepts no new flows and finishes the open ones.
     LEAVING = 'leaving'
-    #: The target does not answer.
+    #: The target does not answer, or its agent stops and the target goes on.
     DOWN = 'down'
     #: The target has not announced itself yet.
     UNKNOWN = 'unknown'
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -35,9 +35,9 @@
 FIND_TIMEOUT = 0.06
 
 #: Time after the start of a balancer in which it may not know all agents yet,
-#: in seconds. Each reports to it once control lists it, within a second; while
-#: control is disturbed or the agent restarts too, that takes some more.
-SETTLING_TIME = 6.0
+#: in seconds. An agent reports to it within a second, but one that is stopped,
+#: frozen or cut off meanwhile does so only afterwards.
+SETTLING_TIME = 15.0
 
 #: Time for which the target of an agent that is no longer heard may have
 #: flows, in seconds: the longest duration of a flow.
@@ -79,7 +79,7 @@
     views = [
         (service, view.address)
         for service in services
-        for view in balancer.views.list_owners(service, now)
+        for view in balancer.views.list_owners(service, balancer.zone, now)
         if view.address not in tried
     ]
     explicit = _knows_all_agents(balancer, services, now)
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -38,11 +38,12 @@
   Scenario: Each kind of violation is detected
     Given two targets, a call and an operator
     Then each of these is found as a violation
-      | what                                         |
-      | a call that ran at two targets               |
-      | a refused call that ran                      |
-      | a call that was reset after its handshake    |
-      | a call answered by another service           |
-      | a packet at a target of another service      |
-      | an accepted version that is not returned     |
-      | a version returned with other text than sent |
+      | what                                                      |
+      | a call that ran at two targets                            |
+      | a refused call that ran                                   |
+      | a call that was reset after its handshake                 |
+      | a call that was reset after another target lost its flows |
+      | a call answered by another service                        |
+      | a packet at a target of another service                   |
+      | an accepted version that is not returned                  |
+      | a version returned with other text than sent              |
