Reset a flow only when its own agent knows that the target has lost it

Flows had been opened at a service that their route no longer named; a balancer that was new to them asked the agents of the route's services alone, all denied them, and it reset flows that their targets had. That all agents which a balancer asks deny a flow does not show that no target has it.

Change: agents do not deny flows any more. An agent that has owned a flow whose target has restarted, or has returned its packet, says that it is gone, told from later flows between the same addresses by its sequence numbers; a claim of another agent goes first. A search asks the agents of all services; those that the route does not name only get the packets of flows that they own.

--- a/packages/pistachiohook-cli/src/pistachiohook_cli/explanation.py
+++ b/packages/pistachiohook-cli/src/pistachiohook_cli/explanation.py
@@ -199,8 +199,8 @@
         yield f'{lost.instance} found no agent that owns it'
     if gone is not None:
         yield (
-            f'{gone.instance} reset it after all {gone.fields.get("asked")} '
-            'agents of its service had said that their targets do not have it'
+            f'{gone.instance} reset it: its agent had said that its target '
+            'has lost it'
         )
     if ended is not None:
         opened_line = last[FLOW_OPENED.number] if opened else None
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -27,6 +27,7 @@
 from .agent_flows import forward_to_caller
 from .agent_flows import is_abandoned
 from .agent_flows import is_opening
+from .agent_flows import note_gone
 from .agent_flows import OPENING_CHECK_INTERVAL
 from .agent_flows import OPENING_TIMEOUT
 from .agent_flows import set_counted
@@ -117,6 +118,8 @@
     :param declined: flows that were declined after their opening packet was
         delivered; when the target accepts one late, the caller must not be
         told before a balancer offers it again
+    :param gone: flows that the target has lost, with the time and the target's
+        initial sequence number
     :param stopping: whether the agent is shutting down
     :param counts: counters of packets and decisions by name
     :param service_ms: mean time for which a request occupies a slot
@@ -140,6 +143,7 @@
     in_progress: int = 0
     waiting: dict[bytes, WaitingFlow] = attrs.field(factory=dict)
     declined: dict[bytes, DeclinedFlow] = attrs.field(factory=dict)
+    gone: dict[bytes, tuple[float, int]] = attrs.field(factory=dict)
     stopping: bool = False
     counts: Counter[str] = attrs.field(factory=Counter)
     service_ms: float = INITIAL_SERVICE_MS
@@ -181,9 +185,9 @@
         """Return the state of the target."""
         if self.target is None:
             return TargetState.UNKNOWN
-        if self.target.leaving:
+        if self.target.leaving or self.stopping:
             return TargetState.LEAVING
-        if self.stopping or now < self._down_until:
+        if now < self._down_until:
             return TargetState.DOWN
         return TargetState.READY
 
@@ -203,7 +207,7 @@
         self._announced_at = now
         restarted = known is not None and known.started != target.started
         if restarted:
-            self._forget_flows()
+            self._forget_flows(now)
         elif known is not None and known.leaving:
             target.leaving = True
         self.target = target
@@ -263,15 +267,12 @@
         actions: list[Action] = []
         for key, flow in list(self.flows.items()):
             actions += self._expire_flow(key, flow, now)
-        over = now - OPENING_TIMEOUT
-        for key, declined in list(self.declined.items()):
-            if declined.declined_at < over:
-                del self.declined[key]
+        self._expire_notes(now)
         actions += deliver_waiting(self, now)
         self._check_at = float('inf')
         if any(map(is_opening, self.flows.values())):
             self.check_within(OPENING_CHECK_INTERVAL, now)
-        elif self.flows or self.declined:
+        elif self.flows or self.declined or self.gone:
             self.check_within(CHECK_INTERVAL, now)
         if self._down_until > now:
             self.check_within(self._down_until - now, now)
@@ -319,6 +320,15 @@
         }
         return Log(TARGET_CHANGED, fields)
 
+    def _expire_notes(self, now: float) -> None:
+        """Forget flows that were declined or lost long ago."""
+        for key, declined in list(self.declined.items()):
+            if now - declined.declined_at > OPENING_TIMEOUT:
+                del self.declined[key]
+        for key, (gone_at, _) in list(self.gone.items()):
+            if now - gone_at > self.flow_age_max:
+                del self.gone[key]
+
     def _expire_flow(
         self, key: bytes, flow: AgentFlow, now: float
     ) -> list[Action]:
@@ -336,8 +346,10 @@
             drop_flow(self, key, flow)
         return []
 
-    def _forget_flows(self) -> None:
+    def _forget_flows(self, now: float) -> None:
         """Remove all flows when the target has restarted."""
+        for key, flow in self.flows.items():
+            note_gone(self, key, flow, now)
         self.flows.clear()
         self.waiting.clear()
         self.declined.clear()
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
@@ -44,6 +44,10 @@
 #: is gone sends nothing.
 EXPECTED_IDLE_MAX = 15.0
 
+#: Number of bytes that a target may have sent on a flow. Initial sequence
+#: numbers of other flows are rarely so near.
+GONE_RANGE = 1 << 24
+
 #: Time for which a closed flow is kept, in seconds, for packets that its ends
 #: retransmit.
 ENDED_TIMEOUT = 5.0
@@ -173,6 +177,27 @@
     return agent.flow_age_max
 
 
+def note_gone(agent: Agent, key: bytes, flow: AgentFlow, now: float) -> None:
+    """Note that the target has lost a flow that was opened through the agent.
+
+    Of a flow that the agent has adopted it can't tell which target opened it.
+    """
+    if flow.state is AgentFlowState.OPEN and flow.sequence:
+        agent.gone[key] = now, flow.sequence
+
+
+def is_gone(agent: Agent, key: bytes, acknowledged: int) -> bool:
+    """Tell whether the target had a flow of a caller and has lost it.
+
+    :param acknowledged: acknowledgement number of a packet of the caller,
+        which tells the flow from a later one between the same addresses
+    """
+    if key not in agent.gone:
+        return False
+    ahead = (acknowledged - agent.gone[key][1]) % SEQUENCE_RANGE
+    return 0 < ahead < GONE_RANGE
+
+
 def is_opening(flow: AgentFlow) -> bool:
     """Tell whether a flow is in a state with a timeout below a second.
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_views.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_views.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from .messages import TargetState
 from .placement import AgentView
 from .placement import find_report_timeout
 from .placement import is_reporting
@@ -23,10 +22,6 @@
 #: again within this time.
 AGENT_TIMEOUT = 10.0
 
-#: Time without an announcement after which an agent has no target, in
-#: seconds: a target that runs announces itself more often.
-TARGET_WAIT = 3.0
-
 
 @attrs.define
 class AgentViews:
@@ -34,12 +29,17 @@
 
     _views: dict[str, dict[Address, AgentView]] = attrs.field(factory=dict)
     _services: dict[Address, str] = attrs.field(factory=dict)
-    _lost_at: dict[str, float] = attrs.field(factory=dict)
 
     def list_service(self, service: str) -> Collection[AgentView]:
         """Return the agents of a service."""
         return self._views.get(service, {}).values()
 
+    def list_all(self) -> Iterator[AgentView]:
+        """Return the agents of all services."""
+        return (
+            view for views in self._views.values() for view in views.values()
+        )
+
     def find(self, service: str, agent: Address | None) -> AgentView | None:
         """Return the view of an agent if it serves a service."""
         return (
@@ -52,38 +52,19 @@
 
     def count_reporting(self, zone: str, now: float) -> int:
         """Return the number of agents that are reporting to a zone."""
-        return sum(is_reporting(view, zone, now) for view in self._list())
+        return sum(is_reporting(view, zone, now) for view in self.list_all())
 
     def remove_silent(self, zone: str, now: float) -> None:
         """Remove the agents that have stopped reporting to a zone."""
         silent = [
             view.address
-            for view in self._list()
+            for view in self.list_all()
             if now - view.heard_at
             > max(AGENT_TIMEOUT, find_report_timeout(view.load, zone))
         ]
         for address in silent:
-            service = self._services[address]
-            view = self._views[service][address]
-            left = view.load.state is TargetState.LEAVING
-            if not left and not _has_no_target(view):
-                self._lost_at[service] = now
             self._remove(address)
 
-    def find_last_loss(self, service: str) -> float:
-        """Return when an agent was removed whose target may still run."""
-        return self._lost_at.get(service, float('-inf'))
-
-    def list_owners(
-        self, service: str, zone: str, now: float
-    ) -> list[AgentView]:
-        """Return the agents of a service whose targets may have flows."""
-        return [
-            view
-            for view in self.list_service(service)
-            if not _has_no_target(view) or is_reporting(view, zone, now)
-        ]
-
     def record_load(
         self, sender: Address, load: Load, now: float, flow: bytes = b''
     ) -> None:
@@ -100,28 +81,13 @@
         view.remove_offer(flow)
         view.suspect = False
         view.heard_at = now
-        if load.state is not TargetState.UNKNOWN:
-            view.unknown_since = None
-        elif view.unknown_since is None:
-            view.unknown_since = now
         # A start time before the known one counts as a restart too, since the
         # wall clock may jump back.
         restarted = load.started != view.load.started
         if restarted or load.sequence >= view.load.sequence:
             view.update_load(load)
 
-    def _list(self) -> Iterator[AgentView]:
-        return (
-            view for views in self._views.values() for view in views.values()
-        )
-
     def _remove(self, address: Address) -> None:
         previous = self._services.pop(address, None)
         if previous is not None:
             del self._views[previous][address]
-
-
-def _has_no_target(view: AgentView) -> bool:
-    """Tell whether an agent had no target when it was last heard."""
-    since = view.unknown_since
-    return since is not None and view.heard_at - since >= TARGET_WAIT
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -12,10 +12,10 @@
 from .agent_views import AgentViews
 from .flow_table import FlowEntryState
 from .flow_table import FlowTable
+from .messages import FlowGone
 from .messages import ForwardedPacket
 from .messages import LateAccept
 from .messages import LoadReport
-from .messages import NotOwner
 from .messages import OfferAccepted
 from .messages import OfferDeclined
 from .messages import OwnerReply
@@ -31,7 +31,7 @@
 from .owner_search import buffer_packet
 from .owner_search import end_search
 from .owner_search import find_owner
-from .owner_search import handle_not_owner
+from .owner_search import handle_flow_gone
 from .owner_search import handle_owner_reply
 from .owner_search import handle_unowned_packet
 from .owner_search import is_search_due
@@ -146,8 +146,8 @@
                 return handle_unowned_packet(self, sender, message, now)
             case OwnerReply():
                 return handle_owner_reply(self, sender, message)
-            case NotOwner():
-                return handle_not_owner(self, sender, message)
+            case FlowGone():
+                return handle_flow_gone(self, message)
             case _:
                 self.counts['messages_unexpected'] += 1
         return []
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/flow_table.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/flow_table.py
@@ -55,8 +55,8 @@
     :param buffered: packets to forward when the owner is found
     :param possible_owners: agents whose target may have opened the flow before
         the agent started, and which have not been tried yet
-    :param unheard: agents that have not answered a search in which all do;
-        ``None`` when those that don't own the flow are silent
+    :param gone: whether the agent that owned the flow has said that its target
+        has lost it
     :param timer_id: number of the running timer; earlier ones are superseded
     :param deadline_extended: whether the timeout of the newest offer was
         extended
@@ -79,7 +79,7 @@
     unanswered: set[Address] = attrs.field(factory=set)
     buffered: list[Segment] = attrs.field(factory=list)
     possible_owners: list[Address] = attrs.field(factory=list)
-    unheard: set[Address] | None = None
+    gone: bool = False
     timer_id: int = 0
     deadline_extended: bool = False
     awaiting_withdrawals: bool = False
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -16,7 +16,7 @@
     READY = 'ready'
     #: The target drains: it accepts no new flows and finishes the open ones.
     LEAVING = 'leaving'
-    #: The target does not answer, or its agent stops and the target goes on.
+    #: The target does not answer.
     DOWN = 'down'
     #: The target has not announced itself yet.
     UNKNOWN = 'unknown'
@@ -121,13 +121,11 @@
     :param flow: key of the flow
     :param acknowledged: acknowledgement number of the packet that is to be
         forwarded to the owner
-    :param explicit: whether agents that don't own the flow answer too
     """
 
     service: str
     flow: bytes
     acknowledged: int
-    explicit: bool = False
 
 
 @attrs.frozen
@@ -193,17 +191,19 @@
 
     :param flow: key of the flow
     :param packet: the packet as the caller sent it
+    :param gone: whether the agent owned the flow and its target has lost it
     """
 
     flow: bytes
     packet: bytes
+    gone: bool = False
 
 
 @attrs.frozen
 class OwnerReply:
     """Answers :class:`FindOwner`.
 
-    An agent that does not own the flow sends :class:`NotOwner` or no answer.
+    An agent that has never owned the flow sends no answer.
 
     :param flow: key of the flow
     :param certain: whether the agent knows that it owns the flow; otherwise
@@ -215,8 +215,8 @@
 
 
 @attrs.frozen
-class NotOwner:
-    """Answers :class:`FindOwner` when the target does not have the flow.
+class FlowGone:
+    """Answers :class:`FindOwner` when the target has lost the flow.
 
     :param flow: key of the flow
     """
@@ -302,6 +302,6 @@
         10: Welcome,
         11: WithdrawOffer,
         12: LateAccept,
-        13: NotOwner,
+        13: FlowGone,
     }
 )
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -15,13 +15,15 @@
 from .agent_flows import become_idle
 from .agent_flows import CHECK_INTERVAL
 from .agent_flows import drop_flow
+from .agent_flows import is_gone
 from .agent_flows import is_open_elsewhere
+from .agent_flows import note_gone
 from .agent_flows import OPENING_CHECK_INTERVAL
 from .agent_flows import OPENING_TIMEOUT
 from .agent_flows import set_counted
 from .messages import DeclineReason
+from .messages import FlowGone
 from .messages import LoadReport
-from .messages import NotOwner
 from .messages import OwnerReply
 from .messages import UnownedPacket
 from .segments import describe_flow
@@ -69,17 +71,18 @@
     agent: Agent, sender: Address, message: FindOwner, now: float
 ) -> list[Action]:
     """Answer a balancer that searches for the owner of a flow."""
+    if message.service != agent.service:
+        return []
+    if is_gone(agent, message.flow, message.acknowledged):
+        return [Send(sender, FlowGone(message.flow))]
     flow = agent.flows.get(message.flow)
-    own_service = message.service == agent.service
-    if own_service and flow is None and agent.may_own_earlier_flows(now):
+    if flow is None:
+        if not agent.may_own_earlier_flows(now):
+            return []
         return [Send(sender, OwnerReply(message.flow, False))]
-    if (
-        own_service
-        and flow is not None
-        and not is_open_elsewhere(flow, message.acknowledged)
-    ):
-        return [Send(sender, OwnerReply(message.flow, True))]
-    return [Send(sender, NotOwner(message.flow))] if message.explicit else []
+    if is_open_elsewhere(flow, message.acknowledged):
+        return []
+    return [Send(sender, OwnerReply(message.flow, True))]
 
 
 def handle_returned_packet(
@@ -91,6 +94,7 @@
     if flow is None:
         return []
     balancer = flow.balancer
+    note_gone(agent, segment.flow, flow, now)
     drop_flow(agent, segment.flow, flow)
     if balancer is None:
         return []
@@ -98,7 +102,8 @@
         reason = DeclineReason.RETURNED
         return decline(agent, balancer, segment.flow, reason, now)
     packet = agent.segment_format.restore(segment.raw)
-    return [Send(balancer, UnownedPacket(segment.flow, packet))]
+    gone = is_gone(agent, segment.flow, segment.acknowledged)
+    return [Send(balancer, UnownedPacket(segment.flow, packet, gone))]
 
 
 def record_answer(
@@ -194,7 +199,8 @@
     if segment.opens:
         reason = DeclineReason.NOT_READY
         return decline(agent, sender, segment.flow, reason, now)
-    return [Send(sender, UnownedPacket(segment.flow, segment.raw))]
+    gone = is_gone(agent, segment.flow, segment.acknowledged)
+    return [Send(sender, UnownedPacket(segment.flow, segment.raw, gone))]
 
 
 def _record_request(
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -13,8 +13,8 @@
 from .flow_table import FlowEntry
 from .flow_table import FlowEntryState
 from .messages import FindOwner
+from .messages import FlowGone
 from .messages import ForwardedPacket
-from .messages import NotOwner
 from .messages import OwnerReply
 from .messages import UnownedPacket
 from .routes import choose_service
@@ -34,15 +34,6 @@
 #: reasons as for an offer.
 FIND_TIMEOUT = 0.06
 
-#: Time after the start of a balancer in which it may not know all agents yet,
-#: in seconds. An agent reports to it within a second, but one that is stopped,
-#: frozen or cut off meanwhile does so only afterwards.
-SETTLING_TIME = 15.0
-
-#: Time for which the target of an agent that is no longer heard may have
-#: flows, in seconds: the longest duration of a flow.
-FLOW_AGE_MAX = 60.0
-
 #: Time between two searches for packets that only end a flow, in seconds.
 ENDING_SEARCH_PAUSE = 5.0
 
@@ -70,56 +61,34 @@
     tried: Iterable[Address],
     now: float,
 ) -> list[Action]:
-    """Ask the agents of a route's services which one owns a flow.
+    """Ask all agents which one owns a flow.
+
+    The flow may be older than the routes, and at a target of a service that
+    its route no longer names.
 
     :param segment: packet of the flow, which is forwarded to the owner
     :param tried: agents that are known not to own the flow
     """
-    services = tuple(dict.fromkeys(list_services(route)))
-    views = [
-        (service, view.address)
-        for service in services
-        for view in balancer.views.list_owners(service, balancer.zone, now)
-        if view.address not in tried
-    ]
-    explicit = _knows_all_agents(balancer, services, now)
     entry = FlowEntry(
         choose_service(route, segment.flow),
         FlowEntryState.SEARCHING,
         now,
         tried=set(tried),
         buffered=[segment],
-        unheard={agent for _, agent in views} if explicit else None,
     )
     balancer.flows.store(segment.flow, entry)
     balancer.flows.start_timer(segment.flow, entry, now + FIND_TIMEOUT)
     balancer.counts['owner_searches'] += 1
-    if explicit and not views:
-        return end_search(balancer, segment.flow, entry)
     return [
         Send(
-            agent,
-            FindOwner(service, segment.flow, segment.acknowledged, explicit),
+            view.address,
+            FindOwner(view.load.service, segment.flow, segment.acknowledged),
         )
-        for service, agent in views
+        for view in balancer.views.list_all()
+        if view.address not in entry.tried
     ]
 
 
-def _knows_all_agents(
-    balancer: Balancer, services: Iterable[str], now: float
-) -> bool:
-    """Tell whether every target of some services has an agent known here.
-
-    Only then the answers of all agents show that no target has a flow.
-    """
-    if now - balancer.started_at < SETTLING_TIME:
-        return False
-    return all(
-        now - balancer.views.find_last_loss(service) > FLOW_AGE_MAX
-        for service in services
-    )
-
-
 def handle_unowned_packet(
     balancer: Balancer, sender: Address, message: UnownedPacket, now: float
 ) -> list[Action]:
@@ -148,7 +117,9 @@
         tried = {sender}
     else:
         tried = entry.tried | {sender}
-    return [log, *find_owner(balancer, route, segment, tried, now)]
+    actions = find_owner(balancer, route, segment, tried, now)
+    balancer.flows.entries[message.flow].gone = message.gone
+    return [log, *actions]
 
 
 def handle_owner_reply(
@@ -162,31 +133,33 @@
     if entry.state is not FlowEntryState.SEARCHING and not late:
         return []
     if not message.certain:
-        entry.possible_owners.append(sender)
-        return _note_answer(balancer, sender, message.flow, entry)
+        if _may_get_flow(balancer, message.flow, sender):
+            entry.possible_owners.append(sender)
+        return []
     entry.possible_owners.clear()
     return _assign_owner(balancer, entry, sender)
 
 
-def handle_not_owner(
-    balancer: Balancer, sender: Address, message: NotOwner
-) -> list[Action]:
-    """Handle the answer of an agent whose target does not have a flow."""
-    entry = balancer.flows.get(message.flow)
-    if entry is None or entry.state is not FlowEntryState.SEARCHING:
-        return []
-    entry.tried.add(sender)
-    return _note_answer(balancer, sender, message.flow, entry)
+def _may_get_flow(balancer: Balancer, flow: bytes, agent: Address) -> bool:
+    """Tell whether the route of a flow names the service of an agent.
 
+    Only then a target may be given packets of a flow that it may not have.
+    """
+    route = balancer.table.find(flow) if balancer.table else None
+    service = balancer.views.find_service(agent, '')
+    return route is not None and service in list_services(route)
 
-def _note_answer(
-    balancer: Balancer, sender: Address, flow: bytes, entry: FlowEntry
-) -> list[Action]:
-    """End a search in which all agents have answered."""
-    if entry.unheard is None:
-        return []
-    entry.unheard.discard(sender)
-    return [] if entry.unheard else end_search(balancer, flow, entry)
+
+def handle_flow_gone(balancer: Balancer, message: FlowGone) -> list[Action]:
+    """Note that the target of the agent that owned a flow has lost it.
+
+    The caller may have opened the flow again at another target, whose agent
+    answers too.
+    """
+    entry = balancer.flows.get(message.flow)
+    if entry is not None and entry.state is FlowEntryState.SEARCHING:
+        entry.gone = True
+    return []
 
 
 def _assign_owner(
@@ -212,11 +185,11 @@
     balancer.counts['owners_not_found'] += 1
     fields = {
         'flow': describe_flow(flow),
-        'asked': len(balancer.views.list_service(entry.service)),
+        'asked': sum(1 for _ in balancer.views.list_all()),
         'dropped': len(entry.buffered),
     }
     segment = entry.buffered[-1]
-    if entry.unheard is None or entry.unheard or segment.resets:
+    if not entry.gone or segment.resets:
         entry.state = FlowEntryState.LOST
         entry.buffered.clear()
         return [Log(FLOW_LOST, fields)]
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
@@ -91,8 +91,6 @@
     :param offered: keys of flows that are offered to it and not answered yet;
         change them with :meth:`add_offer` and :meth:`remove_offer`
     :param suspect: whether an offer to it has timed out since its last message
-    :param unknown_since: since when the agent has heard of no target; ``None``
-        when it has
     :param wait_ms: expected wait of one more flow for a slot
     :param cost_ms: the same, and the mean wait that later requests of the
         target's open flows cause each other
@@ -105,7 +103,6 @@
     heard_at: float
     offered: set[bytes] = attrs.field(factory=set)
     suspect: bool = False
-    unknown_since: float | None = None
     wait_ms: float = attrs.field(init=False)
     cost_ms: float = attrs.field(init=False)
     utilization: float = attrs.field(init=False)
