Let the target of a scenario run long enough to be tried

The scenario of a target of another service passed without the check that it is for: the target had started with its agent, so that it was not tried. It now fails without the check.

--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -1145,6 +1145,7 @@
 def change_service(context, service):
     mesh = context.mesh
     prepare_loss(context)
+    mesh.run(2)
     mesh.set_routes(service)
     restart_balancer(mesh, 'b0')
     mesh.run(0.5)
@@ -1293,6 +1294,8 @@
 def restart_other_service(context, service):
     mesh = context.mesh
     prepare_loss(context)
+    # The target has run long enough to have flows of an earlier agent.
+    mesh.run(2)
     mesh.agents.pop(context.owner)
     restart_balancer(mesh, 'b0')
     mesh.start_agent('other', service)
