--- /dev/null
+++ b/tests/core/passthrough/lost_flows.feature
@@ -0,0 +1,67 @@
+Feature: Lost flows are found, or their callers are told that they are gone
+
+  Scenario: Packets that only end a lost flow are not searched for at each repetition
+    Given 1 balancers in zone "x" with 48 agents
+    And a caller has opened a flow of 45000 ms through "b0"
+    When all agents and "b0" have restarted 0.5 s after their targets, and the caller sends another packet
+    And the caller ends the flow and repeats that 5 times within 2 s
+    Then the owner of the flow was searched for at most 2 times
+    When the caller sends data on the flow
+    Then the owner of the flow was searched for once more
+
+  Scenario: A late claim of a flow is used
+    Given 1 balancers in zone "x" with 12 agents
+    And a caller has opened a flow of 45000 ms through "b0"
+    When "b0" has restarted, and the owner claims the next packet 100 ms late
+    Then "b0" knows the owner, and has searched for it once
+
+  Scenario Outline: A caller is told when the target of its flow has <what>
+    Given 1 balancers in zone "x" with 12 agents
+    And a caller has opened a flow of 45000 ms through "b0"
+    When the target of the flow has <what> and the caller sends another packet
+    Then the flow was reset within 70 ms, with the number that the caller acknowledges
+    And no target but that of the flow has received a packet of it
+
+    Examples:
+      | what                                          |
+      | restarted                                     |
+      | restarted, and "b0" too                       |
+      | lost the flow                                 |
+
+  Scenario Outline: A caller is not told that its flow is gone when <what>
+    Given 1 balancers in zone "x" with 12 agents
+    And a caller has opened a flow of 45000 ms through "b0"
+    When <what>, and the caller sends another packet
+    Then the flow was not reset
+
+    Examples:
+      | what                                                  |
+      | "b0" has restarted and the flow's agent is away       |
+      | "b0" and the flow's agent have restarted              |
+      | the flow's target has restarted while its agent was away |
+      | the caller has opened another flow at the same port elsewhere, and the former target has restarted |
+
+  Scenario: A flow is found at a target of a service that its route no longer names
+    Given 1 balancers in zone "x" with 12 agents
+    And a caller has opened a flow of 45000 ms through "b0"
+    And an agent of service "t"
+    When the routes send flows to service "t" alone, "b0" restarts, and the caller sends another packet
+    Then the flow's agent has got the packet, and the agent of "t" none
+
+  Scenario: A target of a service that the route does not name is not tried
+    Given 1 balancers in zone "x" with 12 agents
+    And a caller has opened a flow of 45000 ms through "b0"
+    And an agent of service "t"
+    When "b0" and the agent of "t" restart, the flow's agent is away, and the caller sends another packet
+    Then the agent of "t" has got no packet
+
+  Scenario: An agent owns a flow for as long as any routes let it be idle
+    Given 1 balancers in zone "x" with 3 agents
+    And a caller has opened a flow of 45000 ms through "b0"
+    When the flow is idle for 16 s
+    Then its agent expects no further request of it
+    When the flow is idle for 20 s and the caller sends another packet
+    Then the flow was not reset
+    And its agent owns the flow
+    When the flow is idle for 61 s
+    Then its agent has forgotten the flow
--- /dev/null
+++ b/tests/core/passthrough/steps/lost_flow_steps.py
@@ -0,0 +1,287 @@
+"""Steps on flows whose owner is searched for, or whose target is gone."""
+
+from __future__ import annotations
+
+from random import Random
+
+from behave import given
+from behave import then
+from behave import when
+from mesh import ENDS
+from mesh import SEGMENT_FORMAT
+from mesh_steps import await_reports
+from pistachiohook_core.passthrough.balancer import Balancer
+
+
+def restart_balancer(mesh, name):
+    table = mesh.balancers[name].table
+    mesh.balancers[name] = Balancer(
+        'x', SEGMENT_FORMAT, Random(1), started_at=mesh.now
+    )
+    mesh.balancers[name].set_routes(table)
+
+
+def restart_target(context):
+    mesh = context.mesh
+    mesh.targets[context.owner].flows.clear()
+    mesh.announce(context.owner, int(mesh.now * 1000))
+
+
+def send_alone(context):
+    """Send a packet that the caller does not repeat."""
+    context.flow.outcome = ''
+    context.mesh.send_subsequent(context.flow, 0, 10)
+
+
+def prepare_loss(context):
+    context.flow.outcome = 'waits'
+    for target in context.mesh.targets.values():
+        target.unknown_flow_packets = 0
+
+
+@when('the target of the flow has {what} and the caller sends another packet')
+def lose_flow(context, what):
+    mesh = context.mesh
+    prepare_loss(context)
+    if 'restarted' in what:
+        restart_target(context)
+    else:
+        mesh.targets[context.owner].flows.clear()
+    if 'b0' in what:
+        restart_balancer(mesh, 'b0')
+    mesh.run(0.5)
+    send_alone(context)
+
+
+@when(
+    '"b0" has restarted and the flow\'s agent is away, and the caller sends'
+    ' another packet'
+)
+def restart_without_agent(context):
+    prepare_loss(context)
+    restart_balancer(context.mesh, 'b0')
+    context.mesh.agents.pop(context.owner)
+    context.mesh.run(20)
+    send_alone(context)
+
+
+@when(
+    '"b0" and the flow\'s agent have restarted, and the caller sends another'
+    ' packet'
+)
+def restart_agent_too(context):
+    mesh = context.mesh
+    prepare_loss(context)
+    restart_balancer(mesh, 'b0')
+    mesh.start_agent(context.owner)
+    mesh.announce(context.owner, 1)
+    mesh.run(0.5)
+    send_alone(context)
+
+
+@when(
+    "the flow's target has restarted while its agent was away, and the caller"
+    ' sends another packet'
+)
+def restart_target_unseen(context):
+    mesh = context.mesh
+    prepare_loss(context)
+    mesh.start_agent(context.owner)
+    restart_target(context)
+    mesh.run(0.5)
+    send_alone(context)
+
+
+@when(
+    'the caller has opened another flow at the same port elsewhere, and the'
+    ' former target has restarted, and the caller sends another packet'
+)
+def reopen_elsewhere(context):
+    mesh = context.mesh
+    prepare_loss(context)
+    other = next(name for name in mesh.agents if name != context.owner)
+    restart_target(context)
+    # The new flow's agent does not answer the search.
+    mesh.targets[other].flows[context.flow.flow] = 1 << 30
+    context.flow.accepted = 1 << 30
+    restart_balancer(mesh, 'b0')
+    mesh.run(0.5)
+    mesh.is_lost = lambda sender, _: sender == other
+    send_alone(context)
+
+
+@given('an agent of service "{service}"')
+def add_agent_of_service(context, service):
+    context.mesh.add_agent('other', 'x', service)
+
+
+@when(
+    'the routes send flows to service "{service}" alone, "b0" restarts, and'
+    ' the caller sends another packet'
+)
+def change_service(context, service):
+    mesh = context.mesh
+    prepare_loss(context)
+    mesh.run(2)
+    mesh.set_routes(service)
+    restart_balancer(mesh, 'b0')
+    mesh.run(0.5)
+    # The agent of the new service may own flows of an earlier start.
+    mesh.start_agent('other', service)
+    mesh.announce('other', 1)
+    mesh.run(0.1)
+    send_alone(context)
+    mesh.run(0.2)
+
+
+@then(
+    'the flow\'s agent has got the packet, and the agent of "{service}" none'
+)
+def check_old_service(context, service):
+    mesh = context.mesh
+    entry = mesh.balancers['b0'].flows.get(context.flow.flow)
+    assert entry.agent == mesh.address(context.owner), entry
+    assert not mesh.targets['other'].unknown_flow_packets
+
+
+@then('no target but that of the flow has received a packet of it')
+def check_only_owner(context):
+    others = [
+        target.unknown_flow_packets
+        for name, target in context.mesh.targets.items()
+        if name != context.owner
+    ]
+    assert not any(others), others
+
+
+@then('the flow was not reset')
+def check_not_reset(context):
+    context.mesh.run(0.19)
+    assert context.flow.outcome == '', context.flow
+
+
+@then(
+    'the flow was reset within {bound:d} ms, with the number that the caller'
+    ' acknowledges'
+)
+def check_reset(context, bound):
+    mesh = context.mesh
+    sent_at = mesh.now
+    mesh.run(0.19)
+    assert context.flow.outcome == 'broken', context.flow
+    assert (context.flow.ended_at - sent_at) * 1000 <= bound, context.flow
+    assert context.flow.reset_sequence == context.flow.accepted + 1
+
+
+@when(
+    'the caller ends the flow and repeats that {count:d} times within'
+    ' {seconds:d} s'
+)
+def end_repeatedly(context, count, seconds):
+    mesh = context.mesh
+    # The request of the flow is not repeated any more.
+    context.flow.outcome = 'left'
+    for _ in range(1 + count):
+        mesh.send_subsequent(context.flow, ENDS, 0)
+        mesh.run(seconds / count)
+
+
+def count_searches(context):
+    return context.mesh.balancers['b0'].counts['owner_searches']
+
+
+@then('the owner of the flow was searched for at most {most:d} times')
+def check_searches(context, most):
+    context.searches = count_searches(context)
+    assert 1 <= context.searches <= most, context.searches
+
+
+@when('the caller sends data on the flow')
+def send_data(context):
+    context.mesh.send_subsequent(context.flow, 0, 10)
+    context.mesh.run(0.01)
+
+
+@then('the owner of the flow was searched for once more')
+def check_another_search(context):
+    assert count_searches(context) == context.searches + 1
+
+
+@when(
+    '"{name}" has restarted, and the owner claims the next packet {late:d} ms'
+    ' late'
+)
+def delay_claim(context, name, late):
+    mesh = context.mesh
+    table = mesh.balancers[name].table
+    mesh.balancers[name] = Balancer(
+        'x', SEGMENT_FORMAT, Random(1), started_at=mesh.now
+    )
+    mesh.balancers[name].set_routes(table)
+    # The caller repeats nothing meanwhile.
+    context.flow.outcome = 'waits'
+    await_reports(mesh)
+    mesh.paused_until[context.owner] = mesh.now + late / 1000
+    mesh.send_subsequent(context.flow, 0, 10)
+    mesh.run(0.3)
+
+
+@then('"{name}" knows the owner, and has searched for it once')
+def check_owner_known(context, name):
+    entry = context.mesh.balancers[name].flows.get(context.flow.flow)
+    assert entry.agent == context.mesh.address(context.owner), entry
+    assert count_searches(context) == 1
+
+
+@when('the flow is idle for {seconds:d} s')
+def let_flow_idle(context, seconds):
+    # The request of the flow is not repeated any more.
+    context.flow.outcome = 'waits'
+    context.mesh.run(seconds)
+    context.flow.outcome = ''
+
+
+@when('the flow is idle for {seconds:d} s and the caller sends another packet')
+def send_after_idle(context, seconds):
+    let_flow_idle(context, seconds)
+    mesh = context.mesh
+    mesh.balancers['b0'].expire_idle(mesh.now)
+    mesh.send_subsequent(context.flow, 0, 0)
+
+
+@then('its agent expects no further request of it')
+def check_not_expected(context):
+    assert context.mesh.agents[context.owner].expected == 0.0
+
+
+@then('its agent owns the flow')
+def check_owned(context):
+    assert context.flow.flow in context.mesh.agents[context.owner].flows
+
+
+@then('its agent has forgotten the flow')
+def check_forgotten(context):
+    assert context.flow.flow not in context.mesh.agents[context.owner].flows
+
+
+@when(
+    '"b0" and the agent of "{service}" restart, the flow\'s agent is away, and'
+    ' the caller sends another packet'
+)
+def restart_other_service(context, service):
+    mesh = context.mesh
+    prepare_loss(context)
+    # The target has run long enough to have flows of an earlier agent.
+    mesh.run(2)
+    mesh.agents.pop(context.owner)
+    restart_balancer(mesh, 'b0')
+    mesh.start_agent('other', service)
+    mesh.announce('other', 1)
+    mesh.run(0.5)
+    send_alone(context)
+    mesh.run(0.2)
+
+
+@then('the agent of "{service}" has got no packet')
+def check_other_untouched(context, service):
+    assert not context.mesh.targets['other'].unknown_flow_packets
