--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
@@ -168,7 +168,7 @@
     """Return how long a flow is kept without a packet, in seconds.
 
     An agent doesn't know after which time the routes let a flow be removed. If
-    it forgot a flow that its target has, it would deny it.
+    it forgot a flow that its target has, the flow's packets would be dropped.
     """
     if flow.state is AgentFlowState.ACCEPTED:
         return HALF_OPEN_TIMEOUT
