Search rarely for repeated packets while all flows are lost

Change: after 20 searches in succession that found no owner, another search for the same flow begins after 1.2 s. One that finds an owner ends this.

Before: the new scenario fails, with 30 lost flows and four packets of each more than 80 searches. After: it passes; a flow whose first search failed is found by its next packet as before as long as other searches succeed.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -69,6 +69,8 @@
     :param table: applied routes; ``None`` before the first
     :param views: agents that send messages
     :param flows: flow table
+    :param lost_in_succession: number of searches for the owner of a flow that
+        have failed since the last one that succeeded
     :param counts: counters of packets and decisions by name
     """
 
@@ -80,6 +82,7 @@
     table: RouteTable | None = None
     views: AgentViews = attrs.field(factory=AgentViews)
     flows: FlowTable = attrs.field(factory=FlowTable)
+    lost_in_succession: int = 0
     counts: Counter[str] = attrs.field(factory=Counter)
     _held: dict[bytes, tuple[Segment, float]] = attrs.field(factory=dict)
 
@@ -206,8 +209,8 @@
         if entry is None or entry.state is FlowEntryState.REFUSED:
             return find_owner(self, route, segment, frozenset(), now)
         if entry.state is FlowEntryState.LOST:
-            if not is_search_due(entry, segment, now):
-                self.counts['packets_ending_lost_flows'] += 1
+            if not is_search_due(self, entry, segment, now):
+                self.counts['packets_of_lost_flows'] += 1
                 return []
             return find_owner(self, route, segment, frozenset(), now)
         entry.touched_at = now
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -37,21 +37,36 @@
 #: Time between two searches for packets that only end a flow, in seconds.
 ENDING_SEARCH_PAUSE = 5.0
 
+#: Searches in succession that have found no owner, after which flows are
+#: taken to be lost with their targets. Lost messages and agents that restart
+#: make some searches fail, but not all.
+LOST_IN_SUCCESSION_MAX = 20
+
+#: Time between two searches for the same flow from then on, in seconds: one
+#: for the first packet, and one for its third repetition.
+LOST_SEARCH_PAUSE = 1.2
+
 #: Largest number of packets that are buffered while the owner of their flow is
 #: searched for. A caller has no more than 16 in flight and retransmits dropped
 #: ones.
 BUFFERED_PACKETS_MAX = 16
 
 
-def is_search_due(entry: FlowEntry, segment: Segment, now: float) -> bool:
+def is_search_due(
+    balancer: Balancer, entry: FlowEntry, segment: Segment, now: float
+) -> bool:
     """Tell whether another search for the owner of a lost flow is worth it.
 
-    A caller that ends a flow repeats its packet for some seconds, and waits
-    for nothing. After a loss of all targets, searches for these packets would
-    keep all agents busy.
+    After a loss of all targets, callers repeat packets of many lost flows for
+    some seconds, and searches for each of them would keep all agents busy. A
+    caller that ends a flow waits for nothing.
     """
-    only_ends = segment.ends and not segment.length
-    return not only_ends or now - entry.touched_at > ENDING_SEARCH_PAUSE
+    pause = 0.0
+    if segment.ends and not segment.length:
+        pause = ENDING_SEARCH_PAUSE
+    elif balancer.lost_in_succession >= LOST_IN_SUCCESSION_MAX:
+        pause = LOST_SEARCH_PAUSE
+    return now - entry.touched_at > pause
 
 
 def find_owner(
@@ -136,6 +151,7 @@
         if _may_get_flow(balancer, message.flow, sender):
             entry.possible_owners.append(sender)
         return []
+    balancer.lost_in_succession = 0
     entry.possible_owners.clear()
     return _assign_owner(balancer, entry, sender)
 
@@ -183,6 +199,7 @@
     if owner is not None:
         return _assign_owner(balancer, entry, owner)
     balancer.counts['owners_not_found'] += 1
+    balancer.lost_in_succession += 1
     fields = {
         'flow': describe_flow(flow),
         'asked': sum(1 for _ in balancer.views.list_all()),
--- a/tests/core/passthrough/lost_flows.feature
+++ b/tests/core/passthrough/lost_flows.feature
@@ -9,6 +9,14 @@
     When the caller sends data on the flow
     Then the owner of the flow was searched for once more
 
+  Scenario: When all flows are lost, their repeated packets are searched for rarely
+    Given 1 balancers in zone "x" with 12 agents
+    And 30 callers have opened flows of 45000 ms through "b0"
+    When all flows are lost with their targets, agents and "b0", and each caller repeats a packet as callers do
+    Then the owners were searched for at most 80 times
+    When a caller opens a flow, "b0" forgets it, and the first search for it fails
+    Then the flow is found when its packet is repeated after 1.3 s, and another is searched for at each packet
+
   Scenario: A late claim of a flow is used
     Given 1 balancers in zone "x" with 12 agents
     And a caller has opened a flow of 45000 ms through "b0"
--- a/tests/core/passthrough/steps/lost_flow_steps.py
+++ b/tests/core/passthrough/steps/lost_flow_steps.py
@@ -285,3 +285,79 @@
 @then('the agent of "{service}" has got no packet')
 def check_other_untouched(context, service):
     assert not context.mesh.targets['other'].unknown_flow_packets
+
+
+@given('{count:d} callers have opened flows of {length:d} ms through "{name}"')
+def open_flows(context, count, length, name):
+    mesh = context.mesh
+    context.calls = [mesh.call(name, length / 1000) for _ in range(count)]
+    mesh.run(1)
+    assert all(call.opened_at is not None for call in context.calls)
+
+
+@when(
+    'all flows are lost with their targets, agents and "{name}", and each'
+    ' caller repeats a packet as callers do'
+)
+def lose_all_flows(context, name):
+    mesh = context.mesh
+    for call in context.calls:
+        call.outcome = 'waits'
+    for target in mesh.targets.values():
+        target.flows.clear()
+        target.running = 0
+    started = int(mesh.now * 1000)
+    for agent in list(mesh.agents):
+        mesh.start_agent(agent)
+        mesh.announce(agent, started)
+    restart_balancer(mesh, name)
+    await_reports(mesh)
+    for pause in (0.2, 0.4, 0.8, 1.6):
+        for call in context.calls:
+            mesh.send_subsequent(call, 0, 10)
+        mesh.run(pause)
+
+
+@then('the owners were searched for at most {most:d} times')
+def check_all_searches(context, most):
+    count = count_searches(context)
+    assert len(context.calls) <= count <= most, count
+
+
+def search(context, seconds, lost=False):
+    """Send a packet, and return how many searches began for it."""
+    mesh = context.mesh
+    before = count_searches(context)
+    mesh.is_lost = (lambda *_: True) if lost else None
+    mesh.send_subsequent(context.flow, 0, 10)
+    mesh.run(seconds)
+    mesh.is_lost = None
+    return count_searches(context) - before
+
+
+@when(
+    'a caller opens a flow, "{name}" forgets it, and the first search for it'
+    ' fails'
+)
+def fail_first_search(context, name):
+    mesh = context.mesh
+    context.flow = mesh.call(name, 45.0)
+    mesh.run(0.1)
+    assert context.flow.opened_at is not None
+    context.flow.outcome = 'waits'
+    mesh.balancers[name].flows.remove(context.flow.flow)
+    assert search(context, 0.2, lost=True) == 1
+    assert search(context, 1.1) == 0
+
+
+@then(
+    'the flow is found when its packet is repeated after {seconds:g} s, and'
+    ' another is searched for at each packet'
+)
+def check_found_later(context, seconds):
+    balancer = context.mesh.balancers['b0']
+    assert search(context, 0.2) == 1
+    assert balancer.flows.get(context.flow.flow).agent is not None
+    balancer.flows.remove(context.flow.flow)
+    assert search(context, 0.2, lost=True) == 1
+    assert search(context, 0.2, lost=True) == 1
