--- a/packages/pistachiohook-cli/src/pistachiohook_cli/explanation.py
+++ b/packages/pistachiohook-cli/src/pistachiohook_cli/explanation.py
@@ -247,7 +247,8 @@
     ]
     if not later_lines:
         return (
-            f'it is open at {opened.instance}, and its target has not answered'
+            f'it is open at {opened.instance}: its target has not answered, '
+            'or its caller keeps it open between requests'
         )
     event = later_lines[0]
     return (
--- a/tests/cli_explain/explain.feature
+++ b/tests/cli_explain/explain.feature
@@ -31,6 +31,13 @@
       | 1.00   | balancer | b1       | 2108  | f    | {"asked": 7, "dropped": 1}   |
     Then the cause of "f" is "b1 reset it: its agent had said that its target has lost it"
 
+  Scenario: A flow is open, and no line tells whether a request is unanswered
+    Given these log lines
+      | second | role     | instance | event | flow | fields                                       |
+      | 1.00   | balancer | b1       | 2101  | f    | {"agent": "a1", "offer": 1}                  |
+      | 1.01   | agent    | a1       | 3102  | f    | {"opening_ms": 7.0, "flows": 1}              |
+    Then the cause of "f" is "it is open at a1: its target has not answered, or its caller keeps it open between requests"
+
   Scenario: The target answers late
     Given these log lines
       | second | role     | instance | event | flow | fields                                       |
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -3,7 +3,8 @@
   # A seed that once found a violation stays here as a regression case, with
   # the cause. Seeds 5 and 8 did so before the plan depended on the seed alone:
   # a call ran at two targets, since the simulated target accepted data that
-  # acknowledged the sequence number of another target.
+  # acknowledged the sequence number of another target. Seed 8 did so again once
+  # calls kept their flow open: a flow was reset whose agent was stopped.
   Scenario Outline: Seed <seed>, with faults for <length> seconds
     When seed <seed> is run with faults for <length> seconds
     Then no guarantee is violated
@@ -16,12 +17,19 @@
       | 5    | 12     |
       | 8    | 12     |
 
-  Scenario: Disks and links fail, clocks jump, and addresses are reused
-    When seed 101 is run with faults of all kinds for 10 seconds
+  # In seed 604, a target whose address went to the other service lost a flow,
+  # and its caller was told; this is no violation.
+  Scenario Outline: Disks and links fail, clocks jump, and addresses are reused, by seed <seed>
+    When seed <seed> is run with faults of all kinds for 10 seconds
     Then no guarantee is violated
     And no process has exited unexpectedly
     And calls were answered while faults were injected
 
+    Examples:
+      | seed |
+      | 101  |
+      | 604  |
+
   Scenario Outline: A file holds <content> after a power loss when <what>
     Given a disk with a synced file "ab"
     When <what>, and power is lost
