Search once in the time that callers wait while all flows are lost

Change: while all flows are lost, the pause between two searches for a flow is 2.5 s, and always 12 s for packets that only end a flow.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -34,8 +34,9 @@
 #: reasons as for an offer.
 FIND_TIMEOUT = 0.06
 
-#: Time between two searches for packets that only end a flow, in seconds.
-ENDING_SEARCH_PAUSE = 5.0
+#: Time between two searches for packets that only end a flow, in seconds:
+#: longer than a caller repeats such a packet.
+ENDING_SEARCH_PAUSE = 12.0
 
 #: Searches in succession that have found no owner, after which flows are
 #: taken to be lost with their targets. Lost messages and agents that restart
@@ -43,8 +44,8 @@
 LOST_IN_SUCCESSION_MAX = 20
 
 #: Time between two searches for the same flow from then on, in seconds: one
-#: for the first packet, and one for its third repetition.
-LOST_SEARCH_PAUSE = 1.2
+#: for the first packet, and one for its fourth repetition.
+LOST_SEARCH_PAUSE = 2.5
 
 #: Largest number of packets that are buffered while the owner of their flow is
 #: searched for. A caller has no more than 16 in flight and retransmits dropped
