Derive an agent's slots in one place, and pass on that a flow is gone

Cause: the slots of a target and the flows that do not wait were computed in each of the modules that the agent was parted into; the search for an owner changed the entry in the flow table after it had been stored; and three test steps restarted a balancer with the same lines.

Change: two properties of the agent, an argument of find_owner, private entries of the flow table, and Mesh.restart_balancer.

Behaviour is meant to be the same and no assertion was changed.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
@@ -176,7 +176,7 @@
         'flow': describe_flow(flow),
         'reason': reason.value,
         'flows': agent.in_progress,
-        'slots': agent.target.slots if agent.target else 0,
+        'slots': agent.slots,
     }
     declined = OfferDeclined(flow, reason, agent.describe_load(now))
     return [Log(FLOW_DECLINED, fields), Send(balancer, declined)]
@@ -189,7 +189,7 @@
         return DeclineReason.WRONG_SERVICE
     if agent.find_state(now) is not TargetState.READY:
         return DeclineReason.NOT_READY
-    ahead = agent.in_progress - len(agent.waiting)
+    ahead = agent.delivered
     ahead += count_ahead(agent.waiting.values(), candidate, now)
     wait = estimate_wait(agent.describe_load(now), ahead)
     if wait > offer.budget_ms:
@@ -251,5 +251,4 @@
 
 
 def _has_capacity(agent: Agent) -> bool:
-    slots = agent.target.slots if agent.target else 0
-    return agent.in_progress - len(agent.waiting) < slots + SPARE_FLOWS
+    return agent.delivered < agent.slots + SPARE_FLOWS
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -157,6 +157,16 @@
     _down_until: float = float('-inf')
     _check_at: float = float('inf')
 
+    @property
+    def slots(self) -> int:
+        """Number of requests that the target runs concurrently."""
+        return self.target.slots if self.target else 0
+
+    @property
+    def delivered(self) -> int:
+        """Number of flows in progress that do not wait here."""
+        return self.in_progress - len(self.waiting)
+
     def find_next_deadline(self) -> float | None:
         """Return when :meth:`expire` is due; ``None`` without a timer."""
         return None if self._check_at == float('inf') else self._check_at
@@ -172,7 +182,7 @@
             self.service,
             self.zone,
             self.find_state(now),
-            target.slots if target else 0,
+            self.slots,
             self.in_progress,
             round(self.service_ms, 1),
             int(cold * 1000),
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -207,12 +207,12 @@
     ) -> list[Action]:
         entry = self.flows.get(segment.flow)
         if entry is None or entry.state is FlowEntryState.REFUSED:
-            return find_owner(self, route, segment, frozenset(), now)
+            return find_owner(self, route, segment, now)
         if entry.state is FlowEntryState.LOST:
             if not is_search_due(self, entry, segment, now):
                 self.counts['packets_of_lost_flows'] += 1
                 return []
-            return find_owner(self, route, segment, frozenset(), now)
+            return find_owner(self, route, segment, now)
         entry.touched_at = now
         entry.handshake_completed = True
         self.flows.store(segment.flow, entry)
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/flow_table.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/flow_table.py
@@ -88,37 +88,37 @@
 
 @attrs.define
 class FlowTable:
-    """Flows of a balancer; any of them may be evicted.
+    """Flows of a balancer, least recently used first.
 
-    :param entries: entry of each flow, least recently used first
+    Any of them may be evicted.
     """
 
-    entries: OrderedDict[bytes, FlowEntry] = attrs.field(factory=OrderedDict)
+    _entries: OrderedDict[bytes, FlowEntry] = attrs.field(factory=OrderedDict)
     _timers: list[tuple[float, int, bytes]] = attrs.field(factory=list)
     _timer_ids: Iterator[int] = attrs.field(factory=lambda: count(1))
 
     def get(self, flow: bytes) -> FlowEntry | None:
         """Return the entry of a flow, if there is one."""
-        return self.entries.get(flow)
+        return self._entries.get(flow)
 
     def store(self, flow: bytes, entry: FlowEntry) -> None:
         """Store the entry of a flow as the most recently used one."""
-        self.entries[flow] = entry
-        self.entries.move_to_end(flow)
-        if len(self.entries) > FLOWS_MAX:
-            self.entries.popitem(last=False)
+        self._entries[flow] = entry
+        self._entries.move_to_end(flow)
+        if len(self._entries) > FLOWS_MAX:
+            self._entries.popitem(last=False)
 
     def remove(self, flow: bytes) -> None:
         """Remove the entry of a flow, if there is one."""
-        self.entries.pop(flow, None)
+        self._entries.pop(flow, None)
 
     def remove_idle(self, since: float) -> None:
         """Remove the flows that no packet has used since a time."""
-        while self.entries:
-            flow, entry = next(iter(self.entries.items()))
+        while self._entries:
+            flow, entry = next(iter(self._entries.items()))
             if entry.touched_at >= since:
                 break
-            del self.entries[flow]
+            del self._entries[flow]
 
     def start_timer(self, flow: bytes, entry: FlowEntry, due: float) -> None:
         """Start the timer of an entry in place of its former one."""
@@ -137,6 +137,6 @@
         """
         while self._timers and self._timers[0][0] <= now:
             due, timer_id, flow = heapq.heappop(self._timers)
-            entry = self.entries.get(flow)
+            entry = self._entries.get(flow)
             if entry is not None and entry.timer_id == timer_id:
                 yield flow, entry, now - due
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -214,9 +214,7 @@
         pause = now - activity.idle_since
         agent.duty_cycles.record_idle(segment.flow, pause)
     set_counted(agent, flow, True)
-    slots = max(1, agent.target.slots if agent.target else 1)
-    delivered = agent.in_progress - len(agent.waiting)
-    activity.shared_by = max(1.0, delivered / slots)
+    activity.shared_by = max(1.0, agent.delivered / max(1, agent.slots))
 
 
 def _report_free_slot(
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -74,8 +74,9 @@
     balancer: Balancer,
     route: Route,
     segment: Segment,
-    tried: Iterable[Address],
     now: float,
+    tried: Iterable[Address] = (),
+    gone: bool = False,
 ) -> list[Action]:
     """Ask all agents which one owns a flow.
 
@@ -84,6 +85,7 @@
 
     :param segment: packet of the flow, which is forwarded to the owner
     :param tried: agents that are known not to own the flow
+    :param gone: whether one of them has said that its target has lost it
     """
     entry = FlowEntry(
         choose_service(route, segment.flow),
@@ -91,6 +93,7 @@
         now,
         tried=set(tried),
         buffered=[segment],
+        gone=gone,
     )
     balancer.flows.store(segment.flow, entry)
     balancer.flows.start_timer(segment.flow, entry, now + FIND_TIMEOUT)
@@ -133,9 +136,10 @@
         tried = {sender}
     else:
         tried = entry.tried | {sender}
-    actions = find_owner(balancer, route, segment, tried, now)
-    balancer.flows.entries[message.flow].gone = message.gone
-    return [log, *actions]
+    return [
+        log,
+        *find_owner(balancer, route, segment, now, tried, message.gone),
+    ]
 
 
 def handle_owner_reply(
--- a/tests/core/passthrough/mesh.py
+++ b/tests/core/passthrough/mesh.py
@@ -182,6 +182,14 @@
         self.balancers[name] = Balancer(zone, SEGMENT_FORMAT, Random(seed))
         self.zones[name] = zone
 
+    def restart_balancer(self, name):
+        """Replace a balancer by one that knows its routes alone."""
+        table = self.balancers[name].table
+        self.balancers[name] = Balancer(
+            self.zones[name], SEGMENT_FORMAT, Random(1), started_at=self.now
+        )
+        self.balancers[name].set_routes(table)
+
     def add_agent(self, name, zone, service='s', slots=2, **options):
         self.targets[name] = Target(slots=slots, **options)
         self.zones[name] = zone
--- a/tests/core/passthrough/steps/lost_flow_steps.py
+++ b/tests/core/passthrough/steps/lost_flow_steps.py
@@ -2,23 +2,11 @@
 
 from __future__ import annotations
 
-from random import Random
-
 from behave import given
 from behave import then
 from behave import when
 from mesh import ENDS
-from mesh import SEGMENT_FORMAT
 from mesh_steps import await_reports
-from pistachiohook_core.passthrough.balancer import Balancer
-
-
-def restart_balancer(mesh, name):
-    table = mesh.balancers[name].table
-    mesh.balancers[name] = Balancer(
-        'x', SEGMENT_FORMAT, Random(1), started_at=mesh.now
-    )
-    mesh.balancers[name].set_routes(table)
 
 
 def restart_target(context):
@@ -48,7 +36,7 @@
     else:
         mesh.targets[context.owner].flows.clear()
     if 'b0' in what:
-        restart_balancer(mesh, 'b0')
+        mesh.restart_balancer('b0')
     mesh.run(0.5)
     send_alone(context)
 
@@ -59,7 +47,7 @@
 )
 def restart_without_agent(context):
     prepare_loss(context)
-    restart_balancer(context.mesh, 'b0')
+    context.mesh.restart_balancer('b0')
     context.mesh.agents.pop(context.owner)
     context.mesh.run(20)
     send_alone(context)
@@ -72,7 +60,7 @@
 def restart_agent_too(context):
     mesh = context.mesh
     prepare_loss(context)
-    restart_balancer(mesh, 'b0')
+    mesh.restart_balancer('b0')
     mesh.start_agent(context.owner)
     mesh.announce(context.owner, 1)
     mesh.run(0.5)
@@ -104,7 +92,7 @@
     # The new flow's agent does not answer the search.
     mesh.targets[other].flows[context.flow.flow] = 1 << 30
     context.flow.accepted = 1 << 30
-    restart_balancer(mesh, 'b0')
+    mesh.restart_balancer('b0')
     mesh.run(0.5)
     mesh.is_lost = lambda sender, _: sender == other
     send_alone(context)
@@ -124,7 +112,7 @@
     prepare_loss(context)
     mesh.run(2)
     mesh.set_routes(service)
-    restart_balancer(mesh, 'b0')
+    mesh.restart_balancer('b0')
     mesh.run(0.5)
     # The agent of the new service may own flows of an earlier start.
     mesh.start_agent('other', service)
@@ -213,11 +201,7 @@
 )
 def delay_claim(context, name, late):
     mesh = context.mesh
-    table = mesh.balancers[name].table
-    mesh.balancers[name] = Balancer(
-        'x', SEGMENT_FORMAT, Random(1), started_at=mesh.now
-    )
-    mesh.balancers[name].set_routes(table)
+    mesh.restart_balancer(name)
     # The caller repeats nothing meanwhile.
     context.flow.outcome = 'waits'
     await_reports(mesh)
@@ -274,7 +258,7 @@
     # The target has run long enough to have flows of an earlier agent.
     mesh.run(2)
     mesh.agents.pop(context.owner)
-    restart_balancer(mesh, 'b0')
+    mesh.restart_balancer('b0')
     mesh.start_agent('other', service)
     mesh.announce('other', 1)
     mesh.run(0.5)
@@ -310,7 +294,7 @@
     for agent in list(mesh.agents):
         mesh.start_agent(agent)
         mesh.announce(agent, started)
-    restart_balancer(mesh, name)
+    mesh.restart_balancer(name)
     await_reports(mesh)
     for pause in (0.2, 0.4, 0.8, 1.6):
         for call in context.calls:
--- a/tests/core/passthrough/steps/mesh_steps.py
+++ b/tests/core/passthrough/steps/mesh_steps.py
@@ -14,10 +14,8 @@
 from mesh import ENTRY_NUMBER
 from mesh import Mesh
 from mesh import OPENS
-from mesh import SEGMENT_FORMAT
 from pistachiohook_core.passthrough.actions import ResetCaller
 from pistachiohook_core.passthrough.actions import Send
-from pistachiohook_core.passthrough.balancer import Balancer
 from pistachiohook_core.passthrough.messages import Load
 from pistachiohook_core.passthrough.messages import Offer
 from pistachiohook_core.passthrough.messages import TargetState
@@ -830,11 +828,7 @@
     for name in list(mesh.agents):
         mesh.start_agent(name)
         mesh.announce(name, target_started)
-    table = mesh.balancers['b0'].table
-    mesh.balancers['b0'] = Balancer(
-        'x', SEGMENT_FORMAT, Random(1), started_at=mesh.now
-    )
-    mesh.balancers['b0'].set_routes(table)
+    mesh.restart_balancer('b0')
     await_reports(mesh)
     mesh.messages_from.clear()
     mesh.send_subsequent(flow, 0, 10)
