Show that flows go to another service after a change and a rolling restart

A route names another service, then all machines are restarted in turn. Flows that were idle meanwhile are used again: all of their packets reach endpoints of the new service and none its own endpoint, which lives.

--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -125,6 +125,7 @@
         self.folder = system.folder / name
         self.folder.mkdir()
         self.bootstrap = True
+        self.has_disk = True
         self.processes = {
             role: Process(self, role, system.commands[role]) for role in roles
         }
@@ -175,7 +176,7 @@
             'Hash': 'steady',
             'DeployMode': 'agent',
         }
-        if role == 'control':
+        if role == 'control' and self.has_disk:
             data = self.folder / 'data'
             data.mkdir(exist_ok=True)
             settings['DataDir'] = str(data)
@@ -278,6 +279,9 @@
 
     async def start(self):
         self.seeds = [one.text('control') for one in self.controls]
+        self.start_machines()
+
+    def start_machines(self):
         for machine in self.machines:
             machine.start()
         self.keeper = asyncio.create_task(self.keep())
