Show the loss of an acknowledged configuration with one lost disk

Review case 1 (rule LOST) now needs a single disk loss, in the final fault: two control instances are killed 2.05 s apart, a change is acknowledged, and all processes are killed, one of them with its disk. Before, the case lost two disks one after the other.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,6 @@
-"""Just after the repair of one disk, a second one is lost."""
+"""Two kills in a row and a final fault: is an acknowledged change gone?"""
 
 import asyncio
-import itertools
 import json
 import os
 from pathlib import Path
@@ -19,71 +18,68 @@
 from system import System  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-#: Clusters that are played at the same time, each on addresses of its own.
-CLUSTERS = int(os.environ.get('CLUSTERS', '4'))
-#: When a round of the last cluster may begin at the latest, in seconds.
-LAST_BEGIN = 75.0
-#: Time from when the repaired instance knows the leader to the kill of the
-#: third one, in seconds; each round takes the next one in turn.
-DELAYS = (0.06, 0.08, 0.1, 0.04, 0.07, 0.09, 0.12, 0.05, 0.02, 0.14, 0.0)
-#: How long the machines are down, in seconds.
-WIPED_DOWN, KILLED_DOWN, SECOND_WIPED_DOWN, DARK = 3.0, 3.5, 1.0, 3.5
-CATCH_UP = BOUNDS['CatchUpS']
+ZONES = ('ing-nord', 'ing-sued', 'eichstaett', 'neuburg')
+#: Deployments that are played at the same time, and one after the other until
+#: one has lost a change.
+AT_ONCE, WAVES = 4, 4
+#: Machines start within this time of each other, in seconds.
+START_SPREAD = 0.3
+#: Time between the two kills, in seconds.
+KILL_GAP = 2.05
+#: How long machines are down, after a kill and in the final fault, in seconds.
+KILLED_DOWN, FINAL_DOWN = 3.5, 0.6
 CONFIG_TIME = BOUNDS['ConfigMs'] / 1000
 RECOVERY = BOUNDS['RecoveryS']
 
 
-class Cluster:
-    """Three control instances and their operator."""
+class Deployment:
+    """Four control instances with a disk each, and their operator.
 
-    def __init__(self, number, record, tries):
-        self.number, self.tries, self.shared = number, tries, record
-        self.rounds = 0
-        self.system = System(CASE, network=80 + number)
-        self.system.lines = record.lines
-        self.system.begin = record.begin
-        for zone in self.system.zones:
+    :param outcome: what became of the last acknowledged change
+    """
+
+    def __init__(self, number, shared):
+        self.number = number
+        self.system = System(CASE, ZONES, network=80 + number % AT_ONCE)
+        self.system.lines, self.system.begin = shared.lines, shared.begin
+        for zone in ZONES:
             self.system.add_front(zone, roles=('control',))
         self.machines = self.system.fronts
         self.version = 0
-        self.accepted = (0, 0.0)
-        self.broken = 0
-        self.acknowledged = 0
-        self.stuck = 0
+        self.accepted = 0, 0.0
+        self.outcome = 'not played'
 
     def record(self, what, **fields):
-        self.system.record(what, cluster=self.number, **fields)
+        self.system.record(what, deployment=self.number, **fields)
 
-    async def ask_leader(self, machine):
-        """Return the leader that an instance knows; empty without one."""
+    async def find_leader(self):
+        """Return the machine that the instances name as the leader."""
         # Port of the health endpoint of control among the internal ones.
         port = self.system.first_port + OFFSETS['internal'] + 6
-        status, body = await call(
-            (machine.host, port), 'GET', '/health', None, 0.5
-        )
-        if status != 200:
-            return ''
-        return json.loads(body)['reason'].rpartition(' ')[2]
-
-    async def find_leader(self):
-        """Return the machine that leads, as the instances say."""
-        names = {await self.ask_leader(one) for one in self.machines}
-        names.discard('')
+        names = set()
         for machine in self.machines:
-            if any(name.startswith(machine.host + ':') for name in names):
-                return machine if len(names) == 1 else None
-        return None
-
-    async def put(self, seconds):
+            status, body = await call(
+                (machine.host, port), 'GET', '/health', None, 0.5
+            )
+            if status == 200:
+                names.add(json.loads(body)['reason'].rpartition(' ')[2])
+        leaders = [
+            machine
+            for machine in self.machines
+            if any(name.startswith(machine.host + ':') for name in names)
+        ]
+        return leaders[0] if len(leaders) == 1 else None
+
+    async def put(self, machines, seconds):
         """Send a new version to each node in turn until one accepts it."""
         self.version += 1
-        route = make_route('r', '198.18.0.1', 8443, 'orders')
+        route = make_route('r', '198.18.0.1', 8443, 'leihtheke')
         route['TimeoutMs'] = 1500 + self.version
-        document = make_configuration(self.version, [route], ['orders'])
+        document = make_configuration(self.version, [route], ['leihtheke'])
         end = time.monotonic() + seconds
         number = 0
         while time.monotonic() < end:
-            machine = self.machines[number % 3]
+            machine = machines[number % len(machines)]
             number += 1
             status, _ = await call(
                 machine.address('control'),
@@ -94,178 +90,147 @@
             )
             if status == 200:
                 self.accepted = self.version, time.monotonic()
-                self.acknowledged += 1
                 self.record(
                     'acknowledged', version=self.version, by=machine.name
                 )
                 return True
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.05)
         self.record('no clear answer', version=self.version)
         return False
 
     async def read(self, machine):
-        """Read at one node; note an answer that is older than allowed."""
-        version, at = self.accepted
-        due = time.monotonic() - at > CONFIG_TIME
+        """Return the version that a node shows; 0 without an answer."""
         status, body = await call(
             machine.address('control'), 'GET', '/Config.Get', None, 1.0
         )
-        if status != 200:
-            return 0
-        found = json.loads(body)['Version']
-        if due and found < version:
-            self.broken += 1
-            self.shared.lost = True
-            self.record(
-                'BROKEN CONFIG',
-                read=found,
-                acknowledged=version,
-                by=machine.name,
-                seconds_ago=f'{time.monotonic() - at:.1f}',
-            )
-        return found
-
-    async def read_for(self, seconds, until_read=False):
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            found = await asyncio.gather(*map(self.read, self.machines))
-            if until_read and min(found) >= self.accepted[0]:
-                return True
-            if self.broken:
-                return False
-            await asyncio.sleep(0.3)
-        return False
-
-    async def restart_empty(self, machine, down):
-        machine.kill()
-        machine.lose_disk()
-        self.record('killed, disk lost', machine=machine.name)
-        await asyncio.sleep(down)
-        machine.start()
-        self.record('started, empty', machine=machine.name)
+        return json.loads(body)['Version'] if status == 200 else 0
+
+    async def start(self):
+        """Start all machines, the last one a little later."""
+        self.system.seeds = [
+            machine.text('control') for machine in self.machines[:3]
+        ]
+        for machine in self.machines[:3]:
+            machine.start()
+        await asyncio.sleep(START_SPREAD)
+        self.machines[3].start()
+        if not await self.put(self.machines, 15.0):
+            return False
+        for machine in self.machines:
+            machine.bootstrap = False
+        await asyncio.sleep(4.0)
+        return True
 
-    async def restart(self, machine, down):
+    def kill(self, machine):
         machine.kill()
         self.record('killed', machine=machine.name)
-        await asyncio.sleep(down)
-        machine.start()
-        self.record('started', machine=machine.name)
 
-    async def play_round(self, delay):
-        """Repair one machine, then lose the disk of the leader.
-
-        :returns: whether another round may follow
-        """
+    async def play(self):
+        if not await self.start():
+            return
         leader = await self.find_leader()
-        if leader is None:
-            await asyncio.sleep(0.5)
-            return True
-        repaired, other = (
-            one for one in self.machines if one is not leader
-        )
-        self.record(
-            'round', leader=leader.name, delay=f'{delay:.3f}'
-        )
-        if not TROUBLE:
-            await self.put(3.0)
-            await asyncio.sleep(4.0)
-            await self.read_for(1.0)
-            return True
-        self.rounds += 1
-        await self.restart_empty(repaired, WIPED_DOWN)
-        begin = time.monotonic()
-        while not await self.ask_leader(repaired):
-            if time.monotonic() - begin > 10.0:
-                return await self.recover()
-            await asyncio.sleep(0.005)
-        await asyncio.sleep(delay)
-        back = asyncio.create_task(self.restart(other, KILLED_DOWN))
-        await asyncio.sleep(0.3)
-        if not await self.put(KILLED_DOWN - 1.0):
-            await back
-            return await self.recover()
-        # The repaired machine counts as lost for this long after its start.
-        await asyncio.sleep(begin + CATCH_UP + 0.05 - time.monotonic())
-        dark = asyncio.create_task(self.restart(repaired, DARK))
-        empty = asyncio.create_task(
-            self.restart_empty(leader, SECOND_WIPED_DOWN)
+        if leader is None or leader is self.machines[3]:
+            return
+        first, second = (
+            one for one in self.machines[:3] if one is not leader
         )
-        reading = asyncio.create_task(self.read_for(DARK))
-        await asyncio.gather(back, dark, empty, reading)
-        if self.broken:
-            await asyncio.sleep(RECOVERY)
-            found = [await self.read(one) for one in self.machines]
-            self.record(
-                'read at the end', acknowledged=self.accepted[0], read=found
-            )
-        return await self.recover()
-
-    async def recover(self):
-        """Wait until all nodes show what was acknowledged."""
-        if self.broken:
-            return False
-        if not await self.read_for(RECOVERY, until_read=True):
-            self.stuck += not self.broken
-            return False
-        # A disk counts as lost for a while after it is back.
-        await asyncio.sleep(CATCH_UP)
-        return True
-
-    async def play(self):
-        await self.system.start()
-        if not await self.put(15.0):
+        self.record('leader', machine=leader.name)
+        if not await self.put([leader], 3.0):
             return
-        await asyncio.sleep(2.0)
-        while (
-            time.monotonic() - self.system.begin < LAST_BEGIN
-            and not self.shared.lost
-        ):
-            if not await self.play_round(next(self.tries)):
+        if TROUBLE:
+            await self.disturb(leader, first, second)
+        else:
+            await asyncio.sleep(KILL_GAP)
+            await self.put([leader], 3.0)
+        await self.judge()
+
+    async def disturb(self, leader, first, second):
+        """Kill two machines; then comes the final fault after a change."""
+        begin = time.monotonic()
+        self.kill(first)
+        await asyncio.sleep(begin + KILL_GAP - time.monotonic())
+        self.kill(second)
+        await self.put([leader, self.machines[3]], KILLED_DOWN - 1.0)
+        for machine in self.machines:
+            machine.kill()
+        leader.lose_disk()
+        self.record('final fault', disk_lost=leader.name)
+        await asyncio.sleep(FINAL_DOWN)
+        # They come back within the spread, the one that was added last too.
+        for machine in (leader, second, first, self.machines[3]):
+            machine.start()
+            await asyncio.sleep(START_SPREAD / 3)
+        self.record('all started')
+
+    async def judge(self):
+        """Read what is in force until all are back for long enough."""
+        version, at = self.accepted
+        end = time.monotonic() + RECOVERY
+        found = []
+        while time.monotonic() < end:
+            await asyncio.sleep(0.5)
+            found = await asyncio.gather(*map(self.read, self.machines))
+            if min(found) >= version:
+                self.outcome = 'kept'
+                self.record('read', acknowledged=version, found=found)
                 return
+        due = time.monotonic() - at > CONFIG_TIME
+        stale = due and any(0 < one < version for one in found)
+        self.outcome = 'LOST' if stale else 'unclear'
+        self.record(self.outcome, acknowledged=version, found=found)
 
 
-class Record:
-    """What all clusters share.
-
-    :param lost: whether a cluster has lost an acknowledged change
-    """
+class Shared:
+    """The lines that all deployments write."""
 
     def __init__(self):
         self.lines, self.begin = [], time.monotonic()
-        self.lost = False
 
 
-async def play(clusters):
-    async def play_later(cluster):
-        await asyncio.sleep(0.7 * cluster.number)
-        await cluster.play()
-
-    await asyncio.gather(*map(play_later, clusters))
+async def play_and_stop(deployment, delay):
+    await asyncio.sleep(delay)
+    try:
+        await deployment.play()
+    finally:
+        deployment.system.stop()
+
+
+async def play(shared):
+    outcomes = []
+    for wave in range(WAVES):
+        deployments = [
+            Deployment(wave * AT_ONCE + one, shared) for one in range(AT_ONCE)
+        ]
+        await asyncio.gather(
+            *(
+                play_and_stop(deployment, 0.5 * number)
+                for number, deployment in enumerate(deployments)
+            )
+        )
+        outcomes += [deployment.outcome for deployment in deployments]
+        if 'LOST' in outcomes:
+            break
+    return outcomes
 
 
 def main():
-    record = Record()
-    tries = itertools.cycle(DELAYS)
-    clusters = [Cluster(one, record, tries) for one in range(CLUSTERS)]
+    shared = Shared()
+    writer = System(CASE)
+    writer.lines, writer.begin = shared.lines, shared.begin
+    outcomes = []
     try:
-        asyncio.run(play(clusters))
+        outcomes = asyncio.run(play(shared))
     finally:
-        for cluster in clusters:
-            cluster.system.stop()
-        broken = sum(cluster.broken > 0 for cluster in clusters)
-        acknowledged = sum(cluster.acknowledged for cluster in clusters)
-        clusters[0].system.record(
-            'result',
-            clusters=len(clusters),
-            repairs=sum(cluster.rounds for cluster in clusters),
-            acknowledged=acknowledged,
-            clusters_that_lost_a_change=broken,
-            clusters_stuck=sum(cluster.stuck > 0 for cluster in clusters),
-        )
-        clusters[0].system.write_record()
-    if broken:
+        counts = {
+            name.replace(' ', '_'): outcomes.count(name)
+            for name in sorted(set(outcomes))
+        }
+        writer.record('result', deployments=len(outcomes), **counts)
+        writer.stop()
+        writer.write_record()
+    if 'LOST' in outcomes:
         return 1
-    return 0 if acknowledged >= 2 * len(clusters) else 2
+    return 0 if outcomes.count('kept') >= AT_ONCE else 2
 
 
 if __name__ == '__main__':
--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -125,7 +125,6 @@
         self.folder = system.folder / name
         self.folder.mkdir()
         self.bootstrap = True
-        self.has_disk = True
         self.processes = {
             role: Process(self, role, system.commands[role]) for role in roles
         }
@@ -176,7 +175,7 @@
             'Hash': 'steady',
             'DeployMode': 'agent',
         }
-        if role == 'control' and self.has_disk:
+        if role == 'control':
             data = self.folder / 'data'
             data.mkdir(exist_ok=True)
             settings['DataDir'] = str(data)
