--- a/review/1/case.py
+++ b/review/1/case.py
@@ -170,9 +170,9 @@
         while time.monotonic() < end:
             await asyncio.sleep(0.5)
             found = await asyncio.gather(*map(self.read, self.machines))
+            self.record('read', acknowledged=version, found=found)
             if min(found) >= version:
                 self.outcome = 'kept'
-                self.record('read', acknowledged=version, found=found)
                 return
         due = time.monotonic() - at > CONFIG_TIME
         stale = due and any(0 < one < version for one in found)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -72,6 +72,7 @@
         )
         if status == 200:
             self.acknowledged.append((version, time.monotonic()))
+            self.record('acknowledged', version=version, by=machine.name)
         return version if status == 200 else 0
 
     async def read(self, machine):
@@ -88,6 +89,7 @@
             return 0
         self.reads += 1
         found = json.loads(body)['Version']
+        self.record('read', version=found, by=machine.name)
         if found < oldest:
             self.broken += 1
             self.record(
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -108,7 +108,11 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + age
         while flow.state == 'open' and loop.time() < end:
-            answer = await flow.request(f'a-{next(self.numbers)}', 4.0)
+            identity = f'a-{next(self.numbers)}'
+            self.record('sent', request=identity, flow=flow.key)
+            answer = await flow.request(identity, 4.0)
+            what = 'answered' if answer else f'not answered, {flow.state}'
+            self.record(what, request=identity)
             self.count('answered' if answer else f'unanswered-{flow.state}')
             if answer is None:
                 break
--- a/review/lib/endpoint.py
+++ b/review/lib/endpoint.py
@@ -161,7 +161,7 @@
         )
         self.record(
             'packet at endpoint',
-            quiet=True,
+            quiet=fits,
             endpoint=self.name,
             flow=key,
             held=fits,
@@ -204,7 +204,6 @@
             flow.opened_at = asyncio.get_running_loop().time()
             self.record(
                 'flow open',
-                quiet=True,
                 endpoint=self.name,
                 incarnation=self.incarnation,
                 flow=(flow.consumer, flow.entry),
@@ -254,7 +253,6 @@
             self.ran.append(identity)
             self.record(
                 'ran',
-                quiet=True,
                 endpoint=self.name,
                 service=self.service,
                 request=identity,
