Replace voters by joint consensus, so that no survivor goes by an old membership

Cause: a voter was replaced in two steps, through a membership of one voter less. A voter that was killed between the two had {L, B} as its newest membership. When L answered with an empty disk, it elected itself alone by the rule for lost quorums and overwrote the log of the instance that had the change.

Why it works: until a change of the voters is complete, a quorum of the former voters is needed too, for elections and commits. So a quorum of the former voters holds the new membership before anything is accepted without them, and no membership on the way has fewer voters than the tolerance needs.

--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/election.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/election.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from .entries import compute_quorum
 from .messages import PreVoteRequest
 from .messages import PreVoteResponse
 from .messages import VoteRequest
@@ -24,10 +25,10 @@
     Only a voter does. The only voter of a cluster skips the timeout and the
     pre-vote.
     """
-    membership = replica.membership
-    if replica.identity not in membership.voters:
+    voters = replica.membership.all_voters
+    if replica.identity not in voters:
         return
-    if membership.voters == (replica.identity,):
+    if voters == (replica.identity,):
         _campaign(replica, now)
     elif now >= replica.election_at:
         _start_pre_vote(replica, now)
@@ -132,7 +133,7 @@
     replica.leader = ''
     replica.granted_votes = {replica.identity}
     reset_election_timeout(replica, now)
-    for voter in replica.membership.voters:
+    for voter in replica.membership.all_voters:
         if voter == replica.identity:
             continue
         send(
@@ -149,11 +150,13 @@
 
 
 def _has_quorum(replica: Replica) -> bool:
-    membership = replica.membership
-    granted = replica.granted_votes.intersection(membership.voters)
     if replica.must_recover:
-        return granted.issuperset(replica.surviving_voters)
-    return len(granted) >= membership.quorum
+        return replica.granted_votes.issuperset(replica.surviving_voters)
+    return all(
+        len(replica.granted_votes.intersection(voters))
+        >= compute_quorum(voters)
+        for voters in replica.membership.voter_sets
+    )
 
 
 def _is_up_to_date(
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/entries.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/entries.py
@@ -28,22 +28,32 @@
     :param retired: identities that are never admitted again, oldest first
     :param observers: replicas without a disk, which receive the log and
         never vote
+    :param former_voters: voters before the change of voters in progress, of
+        which a quorum is needed too; empty when no such change is in progress
     """
 
     voters: tuple[str, ...] = ()
     learners: tuple[str, ...] = ()
     retired: tuple[str, ...] = ()
     observers: tuple[str, ...] = ()
+    former_voters: tuple[str, ...] = ()
 
     @property
     def members(self) -> tuple[str, ...]:
         """Identities of all members, voters first."""
-        return self.voters + self.learners + self.observers
+        return self.all_voters + self.learners + self.observers
 
     @property
-    def quorum(self) -> int:
-        """Number of voters that form a majority."""
-        return len(self.voters) // 2 + 1
+    def all_voters(self) -> tuple[str, ...]:
+        """Voters, and those that a change in progress removes."""
+        return tuple(dict.fromkeys(self.voters + self.former_voters))
+
+    @property
+    def voter_sets(self) -> tuple[tuple[str, ...], ...]:
+        """Sets of voters of each of which a quorum is needed."""
+        if self.former_voters:
+            return (self.voters, self.former_voters)
+        return (self.voters,)
 
 
 @attrs.frozen
@@ -127,6 +137,11 @@
     return f'{instance}/{folder_id}'
 
 
+def compute_quorum(voters: tuple[str, ...]) -> int:
+    """Return the number of voters that form a majority."""
+    return len(voters) // 2 + 1
+
+
 def parse_instance_name(identity: str) -> str:
     """Return the instance name within an identity."""
     return identity.rpartition('/')[0]
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/membership_changes.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/membership_changes.py
@@ -15,11 +15,11 @@
 from .messages import JoinRequest
 from .messages import JoinResponse
 from .replica import add_entry
+from .replica import become_follower
 from .replica import Role
 from .replication import begin_heartbeat_round
 
 if TYPE_CHECKING:
-    from .replica import DynamicMembership
     from .replica import Replica
 
 #: Largest number of retired identities in a membership; the oldest are
@@ -99,39 +99,83 @@
         replica.outbox.append(Retired())
     elif message.blank:
         replica.clusterless_instances.add(instance)
-        if message.number == replica.join_number:
-            replica.lost_voters.update(
-                voter
-                for voter in replica.membership.voters
-                if parse_instance_name(voter) == instance
-                and voter != message.sender
-            )
     else:
         replica.clusterless_instances.discard(instance)
+    if message.number == replica.join_number:
+        _record_lost_voters(replica, message)
+
+
+def _record_lost_voters(replica: Replica, message: JoinResponse) -> None:
+    """Record the voters whose instance has responded under a new identity.
+
+    An instance that has joined again, but not as far as this replica knows,
+    proves nothing: the membership here may be out of date.
+    """
+    if not message.blank and message.sender not in replica.membership.members:
+        return
+    lost = set(
+        _find_predecessors(replica.membership.all_voters, message.sender)
+    ).difference({message.sender})
+    replica.lost_voters |= lost
+    _, committed = replica.log.find_membership(replica.commit)
+    if message.sender in committed.members:
+        replica.superseded_voters |= lost
 
 
 def change_membership(replica: Replica, now: float) -> None:
     """Propose the next change of the membership, as the leader.
 
-    Only when the last change is committed, and an entry of the leader's own
-    term too: otherwise quorums of the old and the new membership might not
-    overlap.
+    A change of the voters is made by joint consensus: until
+    :func:`complete_change` ends it, a quorum of the former voters is needed
+    beside one of the new ones, so that no voter that survives can take an
+    older membership for the newest.
     """
     if replica.must_recover:
         _drop_lost_voters(replica, now)
         return
-    log = replica.log
-    changed_at, membership = log.find_membership(log.last_index)
-    last_committed = changed_at <= replica.commit
-    if (
-        not last_committed
-        or log.find_term(replica.commit) != replica.hard_state.term
-    ):
+    if not _may_change(replica) or replica.membership.former_voters:
         return
-    new_membership = _find_change(replica, membership, now)
+    new_membership = _find_change(replica, replica.membership, now)
     if new_membership is not None:
-        add_entry(replica, EntryKind.MEMBERSHIP, membership=new_membership)
-        begin_heartbeat_round(replica, now)
+        _propose_membership(replica, new_membership, now)
+
+
+def complete_change(replica: Replica, now: float) -> None:
+    """End a change of the voters, as the leader, once it is committed.
+
+    A leader that the change has removed then steps down.
+    """
+    membership = replica.membership
+    if replica.identity in membership.voters and not membership.former_voters:
+        return
+    if not _may_change(replica):
+        return
+    if membership.former_voters:
+        new_membership = attrs.evolve(membership, former_voters=())
+        _propose_membership(replica, new_membership, now)
+    else:
+        become_follower(replica, replica.hard_state.term, '', now)
+
+
+def _may_change(replica: Replica) -> bool:
+    """Tell whether the last change of the membership is committed.
+
+    An entry of the leader's own term must be, too: otherwise quorums of the
+    old and the new membership might not overlap.
+    """
+    log = replica.log
+    changed_at, _ = log.find_membership(log.last_index)
+    return (
+        changed_at <= replica.commit
+        and log.find_term(replica.commit) == replica.hard_state.term
+    )
+
+
+def _propose_membership(
+    replica: Replica, membership: Membership, now: float
+) -> None:
+    add_entry(replica, EntryKind.MEMBERSHIP, membership=membership)
+    begin_heartbeat_round(replica, now)
 
 
 def _drop_lost_voters(replica: Replica, now: float) -> None:
@@ -141,15 +185,16 @@
     to accept it is lost. All surviving voters have elected this leader.
     """
     membership = replica.membership
-    lost = tuple(replica.lost_voters.intersection(membership.voters))
+    lost = tuple(replica.lost_voters.intersection(membership.all_voters))
     new_membership = attrs.evolve(
         membership,
         voters=replica.surviving_voters,
+        former_voters=(),
         retired=_retire(membership, lost),
     )
     replica.lost_voters.clear()
-    add_entry(replica, EntryKind.MEMBERSHIP, membership=new_membership)
-    begin_heartbeat_round(replica, now)
+    replica.superseded_voters.clear()
+    _propose_membership(replica, new_membership, now)
 
 
 def _is_active_member(replica: Replica, now: float) -> bool:
@@ -199,7 +244,7 @@
     """Return the next membership; ``None`` when no change is due.
 
     Admissions come first, then promotions of learners and, with dynamic
-    membership, removals.
+    membership, removals of learners.
     """
     for joiner in tuple(replica.join_requests):
         durable = replica.join_requests.pop(joiner)
@@ -212,49 +257,18 @@
         if _is_caught_up(replica, learner, now) and not _has_live_voter(
             replica, learner, now
         ):
-            promoted = _promote_learner(membership, learner)
-            if _fits_voter_limit(replica, membership, promoted):
+            promoted = _promote_learner(replica, membership, learner, now)
+            if promoted is not None:
                 return promoted
     if replica.dynamic_membership is None:
         return None
-    return _remove_unresponsive(
-        replica, replica.dynamic_membership, membership, now
-    )
+    return _remove_expired(replica, membership, now)
 
 
-def _fits_voter_limit(
-    replica: Replica, membership: Membership, new_membership: Membership
-) -> bool:
-    """Tell whether a change adds no voter beyond the cluster's number."""
-    if replica.dynamic_membership is None or len(new_membership.voters) < len(
-        membership.voters
-    ):
-        return True
-    return len(new_membership.voters) <= replica.dynamic_membership.voters
-
-
-def _remove_unresponsive(
-    replica: Replica,
-    dynamic_membership: DynamicMembership,
-    membership: Membership,
-    now: float,
+def _remove_expired(
+    replica: Replica, membership: Membership, now: float
 ) -> Membership | None:
-    """Remove an unresponsive voter, or else all expired learners.
-
-    A voter is removed only when a learner that has caught up can replace it.
-    Its identity is not retired, because its disk may be intact: when it is
-    back, it can join again as a learner and catch up.
-    """
-    has_replacement = any(
-        _is_caught_up(replica, learner, now) for learner in membership.learners
-    )
-    if has_replacement and len(membership.voters) >= dynamic_membership.voters:
-        unresponsive = _list_unresponsive(
-            replica, membership.voters, replica.timing.election_max, now
-        )
-        if unresponsive:
-            voters = _exclude(membership.voters, unresponsive[:1])
-            return attrs.evolve(membership, voters=voters)
+    """Remove all learners and observers that have not responded for long."""
     non_voters = membership.learners + membership.observers
     expired = _list_unresponsive(replica, non_voters, LEARNER_TIMEOUT, now)
     if not expired:
@@ -317,23 +331,38 @@
     )
 
 
-def _promote_learner(membership: Membership, learner: str) -> Membership:
-    """Remove the former identity of the learner's instance from the voters.
+def _promote_learner(
+    replica: Replica, membership: Membership, learner: str, now: float
+) -> Membership | None:
+    """Return the membership in which a learner votes; ``None`` if it can't.
 
-    When there is none, make the learner a voter. A learner that replaces a
-    former identity thus takes two changes, each of a single voter.
+    It replaces the former identity of its instance. When there is none, it is
+    added, or replaces an unresponsive voter when there are enough voters. The
+    identity of that one is not retired, because its disk may be intact: when
+    it is back, it can join again as a learner and catch up.
     """
-    lost = _find_predecessors(membership.voters, learner)
-    if lost:
-        return attrs.evolve(
-            membership,
-            voters=_exclude(membership.voters, lost),
-            retired=_retire(membership, lost),
-        )
+    former = _find_predecessors(membership.voters, learner)
+    replaced = former
+    if not former and _has_enough_voters(replica, membership):
+        replaced = _list_unresponsive(
+            replica, membership.voters, replica.timing.election_max, now
+        )[:1]
+        if not replaced:
+            return None
     return attrs.evolve(
         membership,
-        voters=(*membership.voters, learner),
+        voters=(*_exclude(membership.voters, replaced), learner),
+        former_voters=membership.voters,
         learners=_exclude(membership.learners, (learner,)),
+        retired=_retire(membership, former),
+    )
+
+
+def _has_enough_voters(replica: Replica, membership: Membership) -> bool:
+    dynamic_membership = replica.dynamic_membership
+    return (
+        dynamic_membership is not None
+        and len(membership.voters) >= dynamic_membership.voters
     )
 
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/raft.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/raft.py
@@ -16,6 +16,7 @@
 from .events import Received
 from .events import Tick
 from .membership_changes import change_membership
+from .membership_changes import complete_change
 from .membership_changes import join_or_bootstrap
 from .membership_changes import receive_join
 from .membership_changes import receive_join_response
@@ -75,6 +76,7 @@
         case Compact():
             compact(replica, event)
     if replica.role is Role.LEADER:
+        complete_change(replica, now)
         confirm_reads(replica)
     complete_reads(replica, now)
     return collect_actions(replica)
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from .entries import compute_quorum
 from .entries import Entry
 from .entries import EntryKind
 from .entries import HardState
@@ -167,6 +168,8 @@
         heard
     :param lost_voters: voters whose instances have answered such a request
         under a new identity, so that their disks are known to be lost
+    :param superseded_voters: those whose new identity is a committed member:
+        they hold no vote in anything that was accepted after its admission
     :param unsaved: entries for the next :class:`Persist`
     :param dirty: whether anything has changed that must be made durable
     :param rewrite: whether the journal must be written as a whole again
@@ -206,6 +209,7 @@
     discovered_instances: set[str] = attrs.field(factory=set)
     join_number: int = 0
     lost_voters: set[str] = attrs.field(factory=set)
+    superseded_voters: set[str] = attrs.field(factory=set)
     dynamic_membership: DynamicMembership | None = None
     unsaved: tuple[Entry, ...] = ()
     dirty: bool = False
@@ -234,7 +238,7 @@
         """Voters whose disks are not known to be lost."""
         return tuple(
             voter
-            for voter in self.membership.voters
+            for voter in self.membership.all_voters
             if voter not in self.lost_voters
         )
 
@@ -248,17 +252,32 @@
         """
         if self.dynamic_membership is None or not self.lost_voters:
             return False
-        survivors = len(self.surviving_voters)
-        lost = len(self.membership.voters) - survivors
-        return (
-            0 < survivors < self.membership.quorum
-            and lost <= self.dynamic_membership.tolerance
+        without_quorum = [
+            voters
+            for voters in self.membership.voter_sets
+            if len(self.lost_voters.intersection(voters))
+            > len(voters) - compute_quorum(voters)
+        ]
+        return bool(without_quorum and self.surviving_voters) and all(
+            map(self._is_loss_tolerated, without_quorum)
         )
 
+    def _is_loss_tolerated(self, voters: tuple[str, ...]) -> bool:
+        """Tell whether the survivors hold all that these voters accepted.
+
+        Superseded voters count, too, unless no quorum is small enough to have
+        been lost with the others alone.
+        """
+        assert self.dynamic_membership is not None
+        lost = self.lost_voters.intersection(voters)
+        if compute_quorum(voters) > self.dynamic_membership.tolerance:
+            lost -= self.superseded_voters
+        return len(lost) <= self.dynamic_membership.tolerance
+
     @property
     def is_voter(self) -> bool:
         """Whether this replica counts towards a quorum."""
-        return self.identity in self.membership.voters
+        return self.identity in self.membership.all_voters
 
     @property
     def is_durable(self) -> bool:
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/replication.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replication.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from .entries import compute_quorum
 from .entries import EntryKind
 from .entries import Snapshot
 from .events import Appended
@@ -47,6 +48,9 @@
     replica.leader = replica.identity
     replica.granted_votes.clear()
     replica.counted_voters = ()
+    # A response to an earlier join request may be older than the changes that
+    # this leader makes.
+    replica.join_number += 1
     add_entry(replica, EntryKind.NOOP)
     begin_heartbeat_round(replica, now)
 
@@ -186,11 +190,15 @@
     An entry of an earlier term is not committed by counting replicas, only
     together with a later entry of the leader's own term.
     """
-    index = _find_reached_value(
-        replica,
-        replica.log.last_index,
-        {name: peer.match_index for name, peer in replica.progress.items()},
-        _count_needed_holders(replica, now),
+    values = {
+        name: peer.match_index for name, peer in replica.progress.items()
+    }
+    values[replica.identity] = replica.log.last_index
+    index = min(
+        _find_reached_value(
+            values, voters, _count_needed_holders(replica, voters, now)
+        )
+        for voters in replica.membership.voter_sets
     )
     if replica.log.find_term(index) == replica.hard_state.term:
         commit_up_to(replica, index)
@@ -201,33 +209,39 @@
 ) -> int:
     """Return the greatest value that at least a quorum of voters has reached.
 
+    During a change of the voters, a quorum of the former ones has, too.
+
     :param own: value of the replica itself
     :param others: values of the other replicas, by identity; a voter without
         one counts as 0
     """
-    return _find_reached_value(replica, own, others, replica.membership.quorum)
+    values = {**others, replica.identity: own}
+    return min(
+        _find_reached_value(values, voters, compute_quorum(voters))
+        for voters in replica.membership.voter_sets
+    )
 
 
 def _find_reached_value(
-    replica: Replica, own: int, others: dict[str, int], number: int
+    values: dict[str, int], voters: tuple[str, ...], number: int
 ) -> int:
     """Return the greatest value that a number of voters has reached."""
-    values = {**others, replica.identity: own}
-    voters = replica.membership.voters
     reached = sorted((values.get(voter, 0) for voter in voters), reverse=True)
     return reached[number - 1]
 
 
-def _count_needed_holders(replica: Replica, now: float) -> int:
+def _count_needed_holders(
+    replica: Replica, voters: tuple[str, ...], now: float
+) -> int:
     """Return how many voters must hold an entry before it is committed.
 
     That is a quorum, and with few voters more: the entry must survive the
     loss of as many disks as are tolerated. Voters that do not respond count
     as lost already.
     """
-    membership = replica.membership
+    quorum = compute_quorum(voters)
     if replica.dynamic_membership is None:
-        return membership.quorum
+        return quorum
     since = now - replica.timing.election_max
     responding = sum(
         voter == replica.identity
@@ -235,11 +249,11 @@
             voter in replica.progress
             and replica.progress[voter].last_response_at >= since
         )
-        for voter in membership.voters
+        for voter in voters
     )
-    lost = len(membership.voters) - responding
+    lost = len(voters) - responding
     survivors = replica.dynamic_membership.tolerance - lost + 1
-    return max(membership.quorum, min(responding, survivors))
+    return max(quorum, min(responding, survivors))
 
 
 def check_quorum(replica: Replica, now: float) -> None:
@@ -298,7 +312,7 @@
     voter has come for some time, there are no more instances with a disk, and
     commands are accepted by those that there are.
     """
-    voters = len(replica.membership.voters)
+    voters = min(map(len, replica.membership.voter_sets))
     dynamic_membership = replica.dynamic_membership
     if dynamic_membership is None:
         return voters <= len(replica.instances) // 2
@@ -402,6 +416,7 @@
     replica.leader_contact_at = now
     replica.join_number += 1
     replica.lost_voters.clear()
+    replica.superseded_voters.clear()
     reset_election_timeout(replica, now)
 
 
--- a/tests/core/consensus/virtual_cluster.py
+++ b/tests/core/consensus/virtual_cluster.py
@@ -292,11 +292,12 @@
         return [] if process is None else process.commands
 
     def voters(self) -> set[str]:
-        """Return the voters of the newest committed membership."""
+        """Return the voters after the newest change that is complete."""
         memberships = [
             entry.membership
             for _, entry in sorted(self.committed.items())
             if entry.membership is not None
+            and not entry.membership.former_voters
         ]
         return set(memberships[-1].voters) if memberships else set()
 
--- a/tests/daemon/replicator/steps/replicator_steps.py
+++ b/tests/daemon/replicator/steps/replicator_steps.py
@@ -80,13 +80,14 @@
 
 
 def is_complete(context):
-    """Tell whether all instances are voters and know the leader."""
+    """Tell whether all instances vote, with no change in progress."""
     replicas = [
         running.replicator._replica for running in context.running.values()
     ]
     return all(
         replica is not None
         and len(replica.membership.voters) == len(context.names)
+        and not replica.membership.former_voters
         and replica.leader
         and replica.identity in replica.membership.voters
         for replica in replicas
