Confirm reads only by answers to the leader's own process

Cause: heartbeat rounds were counted from 1 in each process. A follower that had been frozen rejected the appends of the leader's former process with the present term and the former process's high round number. The new process took that for an answer to rounds that it had not begun, and confirmed every read by itself. Numbers of a follower's reads began at 1 too, so that a delayed answer to its former process could confirm a newer read.

Why it works: each process counts from a random number of 48 bits, and a leader takes only responses to rounds that it has begun since its election. A term has one leader in one process, so that no other response can fall into that range.

The steps of rules.feature acknowledged entries with round 0, which no real follower does; they name the first round of the leader now. A restarted instance of the virtual cluster draws new random numbers, as real ones do.

--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/reading.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/reading.py
@@ -26,7 +26,7 @@
         refused = Refused(event.request, Refusal.NOT_LEADER)
         replica.outbox.append(refused)
         return
-    _begin_read(replica, event.request, now)
+    _begin_read(replica, replica.first_read + event.request, now)
 
 
 def begin_background_read(replica: Replica, now: float) -> None:
@@ -39,7 +39,8 @@
         return
     replica.heartbeat_at = now + replica.timing.heartbeat
     replica.background_reads += 1
-    _begin_read(replica, -replica.background_reads, now)
+    number = replica.first_read + replica.background_reads
+    _begin_read(replica, -number, now)
 
 
 def receive_read_index(
@@ -95,7 +96,8 @@
         del replica.confirmed_reads[request]
         replica.confirmed_at = max(replica.confirmed_at, began)
         if request > 0:
-            replica.outbox.append(ReadReady(request, replica.applied))
+            number = request - replica.first_read
+            replica.outbox.append(ReadReady(number, replica.applied))
     since = now - replica.timing.election_max
     expired = [
         request
@@ -105,7 +107,8 @@
     for request in expired:
         del replica.outstanding_reads[request]
         if request > 0:
-            refused = Refused(request, Refusal.NO_ANSWER)
+            number = request - replica.first_read
+            refused = Refused(number, Refusal.NO_ANSWER)
             replica.outbox.append(refused)
 
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
@@ -26,8 +26,10 @@
 #: disks could delay the votes and increase the term again and again.
 STARTUP_ELECTIONS = 4
 
-#: Size of the random number of a process's first join requests, in bits.
-JOIN_NUMBER_BITS = 48
+#: Size of the random numbers from which a process counts its requests, in
+#: bits. A delayed response to the former process is then not taken for one to
+#: this process.
+FIRST_NUMBER_BITS = 48
 
 
 class Role(enum.Enum):
@@ -145,6 +147,7 @@
         its election
     :param heartbeat_round: number of the newest heartbeat round that it began
         as leader
+    :param first_round: number of the first one since it became the leader
     :param round_start_times: start time of each heartbeat round that no quorum
         has acknowledged yet
     :param pending_reads: as leader, the reads that wait for a quorum
@@ -152,6 +155,7 @@
         leader has not confirmed yet
     :param confirmed_reads: for each confirmed read, the index that must be
         applied first, and the time when the read began
+    :param first_read: number from which the reads are counted in messages
     :param background_reads: number of reads that the replica itself began to
         keep ``confirmed_at`` recent
     :param confirmed_at: start time of the newest heartbeat round or read that
@@ -197,10 +201,12 @@
     counted_voters: tuple[str, ...] = ()
     voters_changed_at: float = float('inf')
     heartbeat_round: int = 0
+    first_round: int = 0
     round_start_times: dict[int, float] = attrs.field(factory=dict)
     pending_reads: list[PendingRead] = attrs.field(factory=list)
     outstanding_reads: dict[int, float] = attrs.field(factory=dict)
     confirmed_reads: dict[int, tuple[int, float]] = attrs.field(factory=dict)
+    first_read: int = 0
     background_reads: int = 0
     confirmed_at: float = float('-inf')
     join_requests: dict[str, bool] = attrs.field(factory=dict)
@@ -311,9 +317,9 @@
         instances=instances,
         timing=timing,
         random=random,
-        # A delayed response to the former process must not be taken for one
-        # to this process.
-        join_number=random.getrandbits(JOIN_NUMBER_BITS),
+        heartbeat_round=random.getrandbits(FIRST_NUMBER_BITS),
+        first_read=random.getrandbits(FIRST_NUMBER_BITS),
+        join_number=random.getrandbits(FIRST_NUMBER_BITS),
         cluster=saved.cluster,
         hard_state=saved.hard_state,
         log=Log(saved.snapshot, list(saved.entries)),
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/replication.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replication.py
@@ -51,6 +51,7 @@
     # A response to an earlier join request may be older than the changes that
     # this leader makes.
     replica.join_number += 1
+    replica.first_round = replica.heartbeat_round + 1
     add_entry(replica, EntryKind.NOOP)
     begin_heartbeat_round(replica, now)
 
@@ -164,10 +165,16 @@
 def receive_append_response(
     replica: Replica, message: AppendResponse, now: float
 ) -> None:
-    """Update a follower's progress from its response, as the leader."""
+    """Update a follower's progress from its response, as the leader.
+
+    A response in the present term may still answer an earlier leadership, also
+    one of a former process. It shows nothing about this one.
+    """
     progress = replica.progress.get(message.sender)
     if progress is None or message.term != replica.hard_state.term:
         return
+    if not replica.first_round <= message.probe <= replica.heartbeat_round:
+        return
     progress.last_response_at = now
     progress.acknowledged_round = max(
         progress.acknowledged_round, message.probe
--- a/tests/core/consensus/network.feature
+++ b/tests/core/consensus/network.feature
@@ -78,3 +78,20 @@
     And 5 accepted changes
     When all messages of one heartbeat arrive 10 seconds late
     Then the state of every instance is more than 9 seconds old
+
+  # Guards against reads that miss what was accepted: a leader took the
+  # rejection of its former process's appends for answers to its heartbeats.
+  Scenario: A leader that was frozen does not answer a read by itself
+    Given 3 control instances that all vote
+    And 5 accepted changes
+    When the appends of 1 second to a follower arrive only after the leader has restarted and leads again
+    And the leader is frozen while the others accept a change
+    Then the first read on it is not answered
+
+  # Guards against the same at a follower: the answer to a read of its former
+  # process would confirm one that began later.
+  Scenario: A read is not confirmed by the answer to one of a former process
+    Given 3 control instances that all vote
+    And 5 accepted changes
+    When the answer to a read on a follower arrives only after it has restarted and 5 more changes are accepted
+    Then a read that it has begun meanwhile is not confirmed by that answer
--- a/tests/core/consensus/steps/rule_steps.py
+++ b/tests/core/consensus/steps/rule_steps.py
@@ -167,7 +167,8 @@
 
 @when('"{sender}" holds the entries up to {matched:d}')
 def acknowledge_entries(context, sender, matched):
-    receive(context, AppendResponse, sender, 6, True, matched, 0)
+    probe = context.replica.first_round
+    receive(context, AppendResponse, sender, 6, True, matched, probe)
 
 
 @then('the entries up to {commits:d} are committed')
@@ -391,7 +392,8 @@
 
 @when('"{sender}" responds that it lacks the entries after {index:d}')
 def reject_append(context, sender, index):
-    receive(context, AppendResponse, sender, 6, False, index, 0)
+    probe = context.replica.first_round
+    receive(context, AppendResponse, sender, 6, False, index, probe)
 
 
 @then('"{receiver}" is sent {number:d} entries')
--- a/tests/core/consensus/virtual_cluster.py
+++ b/tests/core/consensus/virtual_cluster.py
@@ -67,6 +67,7 @@
 
     :param clock_offset: what its clock is ahead of the cluster's, in seconds
     :param identity_count: number of identities that it has had
+    :param start_count: number of its processes so far
     :param process: its running process; ``None`` when it is down
     :param failure: why its journal failed; empty when it didn't
     :param identity: its newest identity; empty before its first start
@@ -76,6 +77,7 @@
     disk: VirtualDisk
     clock_offset: float = 0.0
     identity_count: int = 0
+    start_count: int = 0
     process: Process | None = None
     failure: str = ''
     identity: str = ''
@@ -141,9 +143,8 @@
         if saved is None:
             return
         instance.identity = saved.identity
-        seed = hash(
-            (self.seed, instance.identity_count, self.names.index(name))
-        )
+        instance.start_count += 1
+        seed = hash((self.seed, instance.start_count, self.names.index(name)))
         dynamic_membership = None
         if self.tolerance is not None:
             dynamic_membership = DynamicMembership(
