Keep the flows of an agent over its planned restart

Cause: after the restarts nobody knew the owners. An agent that has restarted answers that its target may have an unknown flow; the balancer ignored that answer of agents of a service that the route no longer names, the true owner's too, and tried the restarted agents of the new service with each packet.

Why it works: an agent leaves its open flows with up to four balancers before it exits and gets them back with its first report, so that it claims its own flows and, when it has got all, no others. Balancers that stop pass on what they keep. For restarts without notice, a route carries the services that its earlier versions named, whose agents are tried too. A target of a service that the route never named still gets no packet.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -32,6 +32,7 @@
 from .agent_flows import set_counted
 from .messages import FindOwner
 from .messages import ForwardedPacket
+from .messages import KeptFlows
 from .messages import Load
 from .messages import Offer
 from .messages import TargetState
@@ -41,7 +42,9 @@
 from .open_flows import handle_find_owner
 from .open_flows import handle_forwarded_packet
 from .open_flows import handle_returned_packet
+from .open_flows import leave_flows
 from .open_flows import record_answer
+from .open_flows import recover_flows
 from .placement import ReportIntervals
 from .queueing import WaitingFlow
 
@@ -120,6 +123,9 @@
     :param gone: flows that the target has lost, with the time and the target's
         initial sequence number
     :param stopping: whether the agent is shutting down
+    :param recovered_parts: numbers of the messages with flows of the former
+        process that have come back
+    :param recovered: whether the flows of the former process are all known
     :param counts: counters of packets and decisions by name
     :param service_ms: mean time for which a request occupies a slot
     :param expected: mean number of requests that the open flows which do not
@@ -144,6 +150,8 @@
     declined: dict[bytes, DeclinedFlow] = attrs.field(factory=dict)
     gone: dict[bytes, tuple[float, int]] = attrs.field(factory=dict)
     stopping: bool = False
+    recovered_parts: set[int] = attrs.field(factory=set)
+    recovered: bool = False
     counts: Counter[str] = attrs.field(factory=Counter)
     service_ms: float = INITIAL_SERVICE_MS
     expected: float = 0.0
@@ -243,11 +251,23 @@
                 actions = handle_find_owner(self, sender, message, now)
             case WithdrawOffer():
                 actions = handle_withdraw_offer(self, sender, message, now)
+            case KeptFlows():
+                actions = recover_flows(self, message, now)
             case _:
                 self.counts['messages_unexpected'] += 1
                 actions = []
         return actions + deliver_waiting(self, now)
 
+    def leave_flows(
+        self, own: Address, holders: tuple[Address, ...], now: float
+    ) -> list[Action]:
+        """Leave the open flows with balancers, before the agent stops.
+
+        :param own: address of the agent
+        :param holders: balancers that keep them until the agent is back
+        """
+        return leave_flows(self, own, holders, now)
+
     def receive_packet(self, packet: bytes, now: float) -> list[Action]:
         """Handle a packet that the target has sent or returned."""
         actions: list[Action]
@@ -296,6 +316,8 @@
 
         These were opened before the agent's start.
         """
+        if self.recovered:
+            return False
         age = now - self.started_at
         if self.target is None:
             # A target that runs announces itself more often than this.
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -12,8 +12,10 @@
 from .agent_views import AgentViews
 from .flow_table import FlowEntryState
 from .flow_table import FlowTable
+from .kept_flows import KeptFlowTable
 from .messages import FlowGone
 from .messages import ForwardedPacket
+from .messages import KeptFlows
 from .messages import LateAccept
 from .messages import LoadReport
 from .messages import OfferAccepted
@@ -71,6 +73,7 @@
     :param flows: flow table
     :param lost_in_succession: number of searches for the owner of a flow that
         have failed since the last one that succeeded
+    :param kept_flows: flows of agents that restart
     :param counts: counters of packets and decisions by name
     """
 
@@ -83,6 +86,7 @@
     views: AgentViews = attrs.field(factory=AgentViews)
     flows: FlowTable = attrs.field(factory=FlowTable)
     lost_in_succession: int = 0
+    kept_flows: KeptFlowTable = attrs.field(factory=KeptFlowTable)
     counts: Counter[str] = attrs.field(factory=Counter)
     _held: dict[bytes, tuple[Segment, float]] = attrs.field(factory=dict)
 
@@ -135,25 +139,19 @@
     def receive_message(
         self, sender: Address, message: object, now: float
     ) -> list[Action]:
-        """Handle a message of an agent."""
+        """Handle a message of an agent, or of a balancer that stops."""
         match message:
             case LoadReport(load):
                 self.views.record_load(sender, load, now)
-            case OfferAccepted():
-                return handle_offer_accepted(self, sender, message, now)
-            case OfferDeclined():
-                return handle_offer_declined(self, sender, message, now)
-            case LateAccept():
-                return handle_late_accept(self, sender, message, now)
-            case UnownedPacket():
-                return handle_unowned_packet(self, sender, message, now)
+                return self.kept_flows.return_flows(sender, load)
+            case KeptFlows():
+                return self._keep_flows(message, now)
             case OwnerReply():
                 return handle_owner_reply(self, sender, message)
             case FlowGone():
                 return handle_flow_gone(self, message)
             case _:
-                self.counts['messages_unexpected'] += 1
-        return []
+                return self._receive_answer(sender, message, now)
 
     def find_next_deadline(self) -> float | None:
         """Return when :meth:`expire` is due; ``None`` without a timer."""
@@ -176,11 +174,37 @@
         idle = self.table.idle_timeout_ms / 1000 if self.table else 0.0
         self.flows.remove_idle(now - idle)
         self.views.remove_silent(self.zone, now)
+        self.kept_flows.remove_old(now)
 
     def count_agents(self, now: float) -> int:
         """Return the number of agents that are reporting."""
         return self.views.count_reporting(self.zone, now)
 
+    def _keep_flows(self, message: KeptFlows, now: float) -> list[Action]:
+        """Keep flows of an agent, or return them if it is back already."""
+        self.kept_flows.keep(message, now)
+        view = self.views.find(message.service, message.agent)
+        if view is None:
+            return []
+        return self.kept_flows.return_flows(message.agent, view.load)
+
+    def _receive_answer(
+        self, sender: Address, message: object, now: float
+    ) -> list[Action]:
+        """Handle the answer of an agent to an offer or a packet."""
+        match message:
+            case OfferAccepted():
+                return handle_offer_accepted(self, sender, message, now)
+            case OfferDeclined():
+                return handle_offer_declined(self, sender, message, now)
+            case LateAccept():
+                return handle_late_accept(self, sender, message, now)
+            case UnownedPacket():
+                return handle_unowned_packet(self, sender, message, now)
+            case _:
+                self.counts['messages_unexpected'] += 1
+        return []
+
     def _refuse_unrouted(self, segment: Segment) -> list[Action]:
         """Refuse a flow without a route.
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ..addresses import Address
 from ..codec import Codec
 
 
@@ -224,6 +225,34 @@
     flow: bytes
 
 
+@attrs.frozen
+class KeptFlows:
+    """Leaves flows of an agent that stops with a balancer, or returns them.
+
+    Balancers that stop pass it on to each other.
+
+    :param agent: address of the agent
+    :param service: service of its target
+    :param started: start time of the process that has left the flows, in
+        milliseconds of wall-clock time
+    :param part: number of this message, from 0
+    :param parts: number of messages that hold all flows
+    :param flows: key of each flow, and the initial sequence number of its
+        target; 0 when it isn't known
+    :param complete: whether the target has no other flows
+    :param holders: balancers that keep the flows
+    """
+
+    agent: Address
+    service: str
+    started: int
+    part: int
+    parts: int
+    flows: tuple[tuple[bytes, int], ...]
+    complete: bool
+    holders: tuple[Address, ...]
+
+
 @attrs.frozen
 class Node:
     """A balancer, agent or control instance that receives messages.
@@ -303,5 +332,6 @@
         11: WithdrawOffer,
         12: LateAccept,
         13: FlowGone,
+        14: KeptFlows,
     }
 )
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -21,6 +21,7 @@
 from .agent_flows import OPENING_CHECK_INTERVAL
 from .agent_flows import OPENING_TIMEOUT
 from .agent_flows import set_counted
+from .kept_flows import pack_flows
 from .messages import DeclineReason
 from .messages import FlowGone
 from .messages import LoadReport
@@ -34,6 +35,7 @@
     from .agent import Agent
     from .messages import FindOwner
     from .messages import ForwardedPacket
+    from .messages import KeptFlows
     from .segments import Segment
 
 #: Weight of a new measurement in an exponential moving average.
@@ -86,6 +88,41 @@
     return []
 
 
+def leave_flows(
+    agent: Agent, own: Address, holders: tuple[Address, ...], now: float
+) -> list[Action]:
+    """Return the messages that leave the open flows with balancers."""
+    states = {flow.state for flow in agent.flows.values()}
+    settled = states <= {AgentFlowState.OPEN, AgentFlowState.ENDED}
+    flows = tuple(
+        (key, flow.sequence)
+        for key, flow in agent.flows.items()
+        if flow.state is AgentFlowState.OPEN
+    )
+    complete = settled and not agent.may_own_earlier_flows(now)
+    return pack_flows(
+        own, agent.service, agent.started, flows, complete, holders
+    )
+
+
+def recover_flows(
+    agent: Agent, message: KeptFlows, now: float
+) -> list[Action]:
+    """Take over flows of the former process of this agent.
+
+    When the target has lost some, it returns their next packet.
+    """
+    if message.service != agent.service or message.started == agent.started:
+        return []
+    for key, sequence in message.flows:
+        if key not in agent.flows:
+            adopt_flow(agent, key, None, now).sequence = sequence
+    agent.recovered_parts.add(message.part)
+    if message.complete and len(agent.recovered_parts) == message.parts:
+        agent.recovered = True
+    return []
+
+
 def handle_returned_packet(
     agent: Agent, segment: Segment, now: float
 ) -> list[Action]:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/routes.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/routes.py
@@ -17,6 +17,9 @@
     from collections.abc import Iterable
     from collections.abc import Iterator
 
+#: Largest number of services that a route keeps of its earlier versions.
+FORMER_SERVICES_MAX = 4
+
 #: Reason of a failure: the route set is invalid and is never applied.
 INVALID = 'invalid'
 
@@ -45,6 +48,8 @@
         the route sets none
     :param priority: priority of its flows; 0 is the highest
     :param idempotent: whether a request may run more than once
+    :param former_services: services that earlier versions of the route named,
+        the newest first; they may have flows of it
     """
 
     name: str
@@ -54,6 +59,7 @@
     target_latency_ms: int = 0
     priority: int = 0
     idempotent: bool = False
+    former_services: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -125,7 +131,35 @@
 
 def list_services(route: Route) -> Iterable[str]:
     """Return the services that may own a flow of a route."""
-    return (share.service for share in route.shares)
+    named = (share.service for share in route.shares)
+    return (*named, *route.former_services)
+
+
+def add_former_services(routes: RouteSet, former: RouteSet) -> RouteSet:
+    """Note the services that each route named in the former set, or before.
+
+    :param routes: the new set
+    :param former: the set that it replaces
+    """
+    services = {
+        route.entry: dict.fromkeys(list_services(route))
+        for route in former.routes
+    }
+    return attrs.evolve(
+        routes,
+        routes=tuple(
+            _add_former(route, services.get(route.entry, {}))
+            for route in routes.routes
+        ),
+    )
+
+
+def _add_former(route: Route, services: Iterable[str]) -> Route:
+    named = {share.service for share in route.shares}
+    former = tuple(service for service in services if service not in named)
+    if not former:
+        return route
+    return attrs.evolve(route, former_services=former[:FORMER_SERVICES_MAX])
 
 
 def _check_route(route: Route, services: frozenset[str]) -> Iterator[Failure]:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
@@ -17,6 +17,7 @@
 from pistachiohook_core.passthrough.agent import Agent
 from pistachiohook_core.passthrough.discovery import AGENT
 from pistachiohook_core.passthrough.discovery import Finder
+from pistachiohook_core.passthrough.kept_flows import choose_holders
 from pistachiohook_core.passthrough.messages import LoadReport
 from pistachiohook_core.passthrough.messages import Node
 from pistachiohook_core.passthrough.messages import TargetState
@@ -94,6 +95,11 @@
         end = self._now() + self.settings.node.grace - EXIT_RESERVE
         while self.agent.in_progress and self._now() < end:
             await asyncio.sleep(DRAIN_INTERVAL)
+        holders = choose_holders(
+            self._list_balancers(local=True), self._list_balancers(local=False)
+        )
+        own = self.settings.node.link
+        self._execute(self.agent.leave_flows(own, holders, self._now()))
 
     def receive_announcement(self, target: TargetAnnouncement) -> None:
         """Apply an announcement of the target."""
@@ -154,6 +160,16 @@
             self._reported_state = state
             self._report_load(include_remote=True)
 
+    def _list_balancers(self, local: bool) -> list[Address]:
+        """Return the balancers of the own availability zone or of others."""
+        zone = self.settings.node.zone
+        addresses = (
+            parse_address(node.address).value_or(None)
+            for node in self.finder.list_balancers()
+            if (node.zone == zone) == local
+        )
+        return [address for address in addresses if address is not None]
+
     def _report_load(self, include_remote: bool) -> None:
         zone = self.settings.node.zone
         self._report_to(
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
@@ -130,6 +130,8 @@
         await asyncio.sleep(
             min(SHUTDOWN_FORWARDING_TIME, self.settings.node.grace / 2)
         )
+        own = self.settings.node.link
+        self._execute(self.balancer.kept_flows.pass_on(own))
 
     def handle_packet(self, data: bytes, sender: Address) -> None:
         """Handle a caller's packet, which the fabric has sent."""
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -18,6 +18,7 @@
 from pistachiohook_core.passthrough.commands import make_command
 from pistachiohook_core.passthrough.commands import read_document
 from pistachiohook_core.passthrough.commands import RouteStateMachine
+from pistachiohook_core.passthrough.commands import unpack_routes
 from pistachiohook_core.passthrough.discovery import CONTROL
 from pistachiohook_core.passthrough.discovery import Directory
 from pistachiohook_core.passthrough.discovery import Finder
@@ -26,6 +27,7 @@
 from pistachiohook_core.passthrough.messages import Hello
 from pistachiohook_core.passthrough.messages import Node
 from pistachiohook_core.passthrough.messages import Welcome
+from pistachiohook_core.passthrough.routes import add_former_services
 from pistachiohook_core.passthrough.routes import check_routes
 from pistachiohook_core.passthrough.routes import INVALID
 from returns.result import Failure as Failed
@@ -138,6 +140,9 @@
             return Failed(self.refuse_routes(routes.version, failures[0]))
         if routes.version <= self.route_state.current.version:
             return Success(self.route_state.current.version)
+        if self.route_state.current.version:
+            former = unpack_routes(self.route_state.current.routes)
+            routes = add_former_services(routes, former)
         command = COMMAND_CODEC.encode(make_command(routes, document))
         result = await self.proposer.propose(command, PROPOSE_RETRY_DURATION)
         if isinstance(result, Failed):
--- a/tests/core/passthrough/lost_flows.feature
+++ b/tests/core/passthrough/lost_flows.feature
@@ -97,6 +97,39 @@
     When the routes send flows to service "t" alone, "b0" restarts, and the caller sends another packet
     Then the flow's agent has got the packet, and the agent of "t" none
 
+  # Guards against flows that never reach their target again: only targets of
+  # the route's present services were tried after a restart of all agents.
+  Scenario: A flow is found at a target of a former service after all agents were killed
+    Given 1 balancers in zone "x" with 6 agents
+    And a caller has opened a flow of 45000 ms through "b0"
+    And an agent of service "t"
+    When the routes send flows to service "t" alone, and all agents and "b0" are killed and start
+    And the caller of the flow sends a packet
+    Then the flow's target has got the packet
+
+  # Guards against packets of open flows at other targets after planned work.
+  Scenario Outline: After a rolling restart, packets of open flows go to no other target, with <services>
+    Given 2 balancers in zone "x" with 6 agents
+    And 10 callers have opened flows of 45000 ms through "b0"
+    And an agent of service "t"
+    When the routes send flows to service "<services>", and all agents and balancers are restarted <how>
+    And each caller sends another packet
+    Then the target of each flow has got its packet, and no other target has got one
+
+    Examples:
+      | services | how                             |
+      | s        | in turn                         |
+      | t        | in turn                         |
+      | t        | in turn, each agent twice       |
+      | t        | in turn, with balancers between |
+
+  # Guards against flows of another service that has taken over an address.
+  Scenario: Flows that were left at an address go to no other service
+    Given 1 balancers in zone "x" with 1 agents
+    And a caller has opened a flow of 45000 ms through "b0"
+    When the agent stops, and an agent of service "t" starts at its address
+    Then the new agent has no flow
+
   Scenario: A target of a service that the route does not name is not tried
     Given 1 balancers in zone "x" with 12 agents
     And a caller has opened a flow of 45000 ms through "b0"
--- a/tests/core/passthrough/mesh.py
+++ b/tests/core/passthrough/mesh.py
@@ -21,6 +21,7 @@
 from pistachiohook_core.passthrough.messages import FLOW_CODEC
 from pistachiohook_core.passthrough.messages import LoadReport
 from pistachiohook_core.passthrough.placement import find_report_intervals
+from pistachiohook_core.passthrough.routes import add_former_services
 from pistachiohook_core.passthrough.routes import build_table
 from pistachiohook_core.passthrough.routes import Route
 from pistachiohook_core.passthrough.routes import RouteSet
@@ -134,6 +135,7 @@
     disconnected: set = attrs.field(factory=set)
     is_lost: object = None
     version: int = 0
+    route_set: RouteSet | None = None
     accept_s: float = 0.0
     #: Number of messages sent from one zone to another.
     messages_between_zones: int = 0
@@ -170,9 +172,11 @@
             Route('u', URGENT, shares, 1500, 275, 1),
         )
         routes = routes if services else ()
-        table = build_table(
-            RouteSet(self.version, services, routes, idle_timeout_ms)
-        )
+        route_set = RouteSet(self.version, services, routes, idle_timeout_ms)
+        if self.route_set is not None:
+            route_set = add_former_services(route_set, self.route_set)
+        self.route_set = route_set
+        table = build_table(route_set)
         for name, balancer in self.balancers.items():
             if balancer.set_routes(table):
                 self.carry_out(name, balancer.release_held(self.now))
@@ -207,6 +211,20 @@
         self.agents[name] = agent
         self.at(self.now, self.report, name, agent)
 
+    def stop_agent(self, name):
+        """Stop an agent as planned work does."""
+        holders = tuple(map(self.address, self.balancers))
+        agent = self.agents[name]
+        self.carry_out(
+            name, agent.leave_flows(self.address(name), holders, self.now)
+        )
+        del self.agents[name]
+
+    def stop_balancer(self, name):
+        """Let a balancer pass on what it keeps before it stops."""
+        kept = self.balancers[name].kept_flows
+        self.carry_out(name, kept.pass_on(self.address(name)))
+
     def announce(self, name, started=1, sequence=None, leaving=False):
         view = TargetAnnouncement(
             name,
--- a/tests/core/passthrough/steps/lost_flow_steps.py
+++ b/tests/core/passthrough/steps/lost_flow_steps.py
@@ -474,3 +474,141 @@
     context.mesh.run(1)
     assert context.flow.opened_at is not None
     assert context.flow.outcome == '', context.flow
+
+
+@when(
+    'the routes send flows to service "{service}" alone, and all agents and'
+    ' "b0" are killed and start'
+)
+def kill_all(context, service):
+    mesh = context.mesh
+    prepare_loss(context)
+    mesh.set_routes(service)
+    mesh.run(2)
+    for name, agent in list(mesh.agents.items()):
+        mesh.start_agent(name, agent.service)
+        mesh.announce(name, 1)
+    mesh.restart_balancer('b0')
+    await_reports(mesh)
+
+
+@when('the caller of the flow sends a packet')
+def send_another(context):
+    send_alone(context)
+    context.mesh.run(0.15)
+
+
+@then("the flow's target has got the packet")
+def check_got(context):
+    target = context.mesh.targets[context.owner]
+    assert target.runs[context.flow.flow] == 1
+    agent = context.mesh.agents[context.owner]
+    assert agent.flows[context.flow.flow].activity.requests == 1
+
+
+def restart_planned(mesh, name):
+    """Restart an agent as planned work does."""
+    service = mesh.agents[name].service
+    mesh.stop_agent(name)
+    mesh.run(0.8)
+    mesh.start_agent(name, service)
+    mesh.run(0.1)
+    mesh.announce(name, 1)
+
+
+def restart_balancer_planned(mesh, name):
+    mesh.stop_balancer(name)
+    mesh.run(0.01)
+    mesh.restart_balancer(name)
+    mesh.run(0.5)
+
+
+def roll_in_turn(mesh):
+    for name in list(mesh.agents):
+        restart_planned(mesh, name)
+    for name in mesh.balancers:
+        restart_balancer_planned(mesh, name)
+
+
+def roll_agents_twice(mesh):
+    for name in list(mesh.agents):
+        restart_planned(mesh, name)
+        restart_planned(mesh, name)
+    for name in mesh.balancers:
+        restart_balancer_planned(mesh, name)
+
+
+def roll_with_balancers(mesh):
+    """Restart the balancers while each agent is away, one after the other."""
+    for name in list(mesh.agents):
+        service = mesh.agents[name].service
+        mesh.stop_agent(name)
+        for balancer in mesh.balancers:
+            mesh.run(0.1)
+            restart_balancer_planned(mesh, balancer)
+        mesh.start_agent(name, service)
+        mesh.run(0.1)
+        mesh.announce(name, 1)
+
+
+ROLLS = {
+    'in turn': roll_in_turn,
+    'in turn, each agent twice': roll_agents_twice,
+    'in turn, with balancers between': roll_with_balancers,
+}
+
+
+@when(
+    'the routes send flows to service "{service}", and all agents and'
+    ' balancers are restarted {how}'
+)
+def roll_all(context, service, how):
+    mesh = context.mesh
+    for call in context.calls:
+        call.outcome = 'waits'
+    mesh.set_routes(service)
+    mesh.run(2)
+    for target in mesh.targets.values():
+        target.runs.clear()
+    ROLLS[how](mesh)
+    await_reports(mesh)
+
+
+@when('each caller sends another packet')
+def send_each(context):
+    for call in context.calls:
+        context.mesh.send_subsequent(call, 0, 10)
+    context.mesh.run(0.5)
+
+
+@then(
+    'the target of each flow has got its packet, and no other target has got'
+    ' one'
+)
+def check_each_got(context):
+    targets = context.mesh.targets.values()
+    strays = [target.unknown_flow_packets for target in targets]
+    assert not any(strays), strays
+    for call in context.calls:
+        got = [target for target in targets if target.runs[call.flow]]
+        assert len(got) == 1, call
+        assert call.flow in got[0].flows
+
+
+@when(
+    'the agent stops, and an agent of service "{service}" starts at its'
+    ' address'
+)
+def take_over_address(context, service):
+    mesh = context.mesh
+    prepare_loss(context)
+    mesh.run(2)
+    mesh.stop_agent(context.owner)
+    mesh.run(0.5)
+    mesh.start_agent(context.owner, service)
+    mesh.run(0.5)
+
+
+@then('the new agent has no flow')
+def check_no_flow(context):
+    assert not context.mesh.agents[context.owner].flows
