--- a/packages/pistachiohook-core/src/pistachiohook_core/codec.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/codec.py
@@ -16,6 +16,14 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+#: Errors by which decoding tells that the data isn't valid.
+_UNREADABLE = (
+    msgspec.MsgspecError,
+    KeyError,
+    UnicodeDecodeError,
+    RecursionError,
+)
+
 
 @attrs.frozen
 class Codec:
@@ -52,7 +60,7 @@
             )
             kind: type[Any] = self.kinds[number]
             message: Any = msgspec.msgpack.decode(body, type=kind)
-        except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
+        except _UNREADABLE as error:
             return Failed(
                 Failure(
                     'decode message', peer, f'not a valid message: {error}'
--- a/packages/pistachiohook-core/src/pistachiohook_core/configuration/documents.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/configuration/documents.py
@@ -267,7 +267,11 @@
     """
     try:
         return Success(msgspec.json.decode(data, type=kind))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         return Failed(Failure('read body', peer, str(error)))
 
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/answers.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/answers.py
@@ -182,7 +182,7 @@
     try:
         document = json.loads(answer.body)
         kind = str(document['type'])
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return False
     return kind.endswith(NOT_RUN.kind)
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/load.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/agent/load.py
@@ -36,6 +36,9 @@
 #: Timeout of one poll of the load endpoint, in seconds.
 LOAD_TIMEOUT = 0.5
 
+#: Largest number of slots or running requests that a target may report.
+COUNT_MAX = 2**31 - 1
+
 
 @attrs.frozen
 class TargetLoad:
@@ -126,10 +129,15 @@
     try:
         response = await fetch(f'http://{target}/load')
         document = json.loads(response.body)
-        return TargetLoad(
+        load = TargetLoad(
             slots=int(document['slots']),
             running=int(document['running']),
             serving=document['state'] == 'serving',
         )
     except (OSError, HTTPError, ValueError, KeyError, TypeError):
         return None
+    except (RecursionError, OverflowError):
+        # Nested too deeply, or with an infinite number.
+        return None
+    counts = (load.slots, load.running)
+    return load if 0 <= min(counts) <= max(counts) <= COUNT_MAX else None
--- a/tests/daemon/fuzz/fuzz.feature
+++ b/tests/daemon/fuzz/fuzz.feature
@@ -35,6 +35,18 @@
       | agent's link port      |
       | agent's hand-over port |
 
+  # Guards against a task that ends with each poll of one target.
+  Scenario Outline: A target reports its load <how>
+    When a target reports its load <how>
+    Then there is no valid report of its load, and no exception is raised
+
+    Examples:
+      | how                          |
+      | nested 100,000 deep          |
+      | with infinitely many slots   |
+      | with slots above 64 bits     |
+      | with fewer slots than 0      |
+
   Scenario: A header field that is not valid UTF-8
     Given a balancer and an agent with a published service
     When a caller sends a header field with the bytes ff fe
--- a/tests/daemon/fuzz/steps/fuzz_steps.py
+++ b/tests/daemon/fuzz/steps/fuzz_steps.py
@@ -8,6 +8,7 @@
 import random
 import socket
 import tempfile
+from types import SimpleNamespace
 
 from aioquic.h3.events import HeadersReceived
 from behave import given
@@ -25,6 +26,7 @@
 from pistachiohook_core.steering.flow_messages import FlowKey
 from pistachiohook_core.steering.flow_messages import RegisterFlows
 from pistachiohook_daemon.agent.engine import Flow as EngineFlow
+from pistachiohook_daemon.agent.load import fetch_load
 from pistachiohook_daemon.agent.peers import PEER_CODEC
 from pistachiohook_daemon.agent.peers import PeerLinks
 from pistachiohook_daemon.agent.wiring import start_agent
@@ -323,3 +325,28 @@
 @then('event {number:d} has been reported')
 def check_event(context, number):
     assert number in context.events
+
+
+LOADS = {
+    'nested 100,000 deep': b'[' * 100_000 + b']' * 100_000,
+    'with infinitely many slots': b'{"slots": Infinity, "running": 0,'
+    b' "state": "serving"}',
+    'with slots above 64 bits': b'{"slots": 99999999999999999999,'
+    b' "running": 0, "state": "serving"}',
+    'with fewer slots than 0': b'{"slots": -1, "running": 0,'
+    b' "state": "serving"}',
+}
+
+
+@when('a target reports its load {how}')
+def report_load(context, how):
+    async def fetch(_, **__):
+        return SimpleNamespace(body=LOADS[how])
+
+    client = SimpleNamespace(fetch=fetch)
+    context.load = asyncio.run(fetch_load(client, Address('127.0.0.1', 1)))
+
+
+@then('there is no valid report of its load, and no exception is raised')
+def check_no_load(context):
+    assert context.load is None
--- a/tests/daemon/links/links.feature
+++ b/tests/daemon/links/links.feature
@@ -31,6 +31,7 @@
       | random bytes               | 5002  |
       | a short hello              | none  |
       | a message of unknown type  | 5003  |
+      | a deeply nested message    | 5003  |
 
   Scenario: A dialer reconnects to a restarted listener
     Given a dialer with the key "11111111111111111111111111111111"
--- a/tests/daemon/links/steps/link_steps.py
+++ b/tests/daemon/links/steps/link_steps.py
@@ -107,6 +107,11 @@
         client._send_raw(b'X' + random.Random(4).randbytes(99))
     elif frame == 'a short hello':
         client._send_raw(b'H123')
+    elif frame == 'a deeply nested message':
+        # The body of a message of a known type.
+        nested = b'\x92\x01' + b'\x91' * 50_000 + b'\x01'
+        session, current = client._session, context.keys.current
+        client._send_raw(_authenticate(session, b'>', nested, current))
     elif frame == 'a replayed message':
         body = SUBSCRIPTION_CODEC.encode(Leave('n', 1))
         session = client._session
--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -16,6 +16,24 @@
       | with a start as string          | born    | "7"        | refused               |
       | with a start that is a fraction | born    | 7.5        | refused               |
       | with an unknown field           | Further | 1          | accepted              |
+      | with a number above 64 bits     | Slots   | 99999999999999999999 | refused     |
+      | with a start above 64 bits      | born    | 99999999999999999999 | refused     |
+      | with a number below 64 bits     | Seq     | -99999999999999999999 | refused    |
+      | with far too many slots         | Slots   | 9000000000000000000 | refused      |
+
+  # Guards against processes that end or stop following because of one odd
+  # entry, and against documents that are stored but can't be read back.
+  Scenario Outline: A body with <content> in a field that is not used
+    When a heartbeat and the example configuration are read with <content>
+    Then each is refused with a reason
+
+    Examples:
+      | content                         |
+      | a byte that UTF-8 doesn't have  |
+      | a character that is cut short   |
+      | lists nested 100,000 deep       |
+      | objects nested 100,000 deep     |
+      | half of a surrogate pair        |
 
   Scenario Outline: A configuration with <case>
     When the example configuration is read with <case>
@@ -34,6 +52,10 @@
       | a longer prefix                      | refused  |
       | a string as version                  | refused  |
       | no list of services                  | refused  |
+      | a version above 64 bits              | refused  |
+      | a timeout above 64 bits              | refused  |
+      | a port above 65535                   | refused  |
+      | a port above 64 bits                 | refused  |
 
   Scenario Outline: A route set with <case>
     When the example configuration is checked with <case>
--- a/tests/platform/steps/format_steps.py
+++ b/tests/platform/steps/format_steps.py
@@ -234,6 +234,12 @@
         'a host name as address': lambda: first.update(Hostname='shop'),
         'a longer prefix': lambda: first.update(PathPrefix='/8443/x/'),
         'a string as version': lambda: document.update(Version='7'),
+        'a version above 64 bits': lambda: document.update(Version=10**20),
+        'a timeout above 64 bits': lambda: second.update(TimeoutMs=10**20),
+        'a port above 65535': lambda: second.update(PathPrefix='/65536/'),
+        'a port above 64 bits': lambda: second.update(
+            PathPrefix=f'/{10**20}/'
+        ),
         'no list of services': lambda: document.pop('Services'),
         'an unknown service': lambda: second.update(Service='u'),
         'two routes for one address': lambda: second.update(
@@ -312,3 +318,33 @@
     if case == 'a truncated end':
         body = body[:-30]
     context.result = read_from_file(body, 'balancer')
+
+
+DAMAGES = {
+    "a byte that UTF-8 doesn't have": b'"\xff"',
+    'a character that is cut short': b'"\xe2"',
+    'lists nested 100,000 deep': b'[' * 100_000 + b']' * 100_000,
+    'objects nested 100,000 deep': b'{"a":' * 100_000 + b'1' + b'}' * 100_000,
+    'half of a surrogate pair': b'"\\ud800"',
+}
+
+
+@when('a heartbeat and the example configuration are read with {content}')
+def read_damaged(context, content):
+    heartbeat, configuration = (
+        json.dumps({**document, 'Further': 0})
+        .encode()
+        .replace(b'"Further": 0', b'"Further": ' + DAMAGES[content])
+        for document in (HEARTBEAT, CONFIGURATION)
+    )
+    context.results = (
+        read_heartbeat('i-1', heartbeat, 's', 10.0),
+        read_configuration(configuration),
+    )
+
+
+@then('each is refused with a reason')
+def check_all_refused(context):
+    for result in context.results:
+        assert isinstance(result, Failed), result
+        assert result.failure().reason
