Keep the state of agents and balancers apart from their decisions

The decisions about offers, admission and open flows took the whole Agent or Balancer, whose modules import them back. Their state is now in agent_state and balancer_state, which import no decision: dispatch imports decisions, and these import state.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
@@ -8,12 +8,12 @@
 from .actions import DeliverToTarget
 from .actions import Log
 from .actions import Send
-from .agent_flows import AgentFlow
-from .agent_flows import AgentFlowState
-from .agent_flows import DeclinedFlow
 from .agent_flows import drop_flow
 from .agent_flows import forward_to_caller
 from .agent_flows import OPENING_CHECK_INTERVAL
+from .agent_state import AgentFlow
+from .agent_state import AgentFlowState
+from .agent_state import DeclinedFlow
 from .messages import DeclineReason
 from .messages import LateAccept
 from .messages import Load
@@ -31,7 +31,7 @@
 if TYPE_CHECKING:
     from ..addresses import Address
     from .actions import Action
-    from .agent import Agent
+    from .agent_state import AgentState
     from .messages import Offer
     from .messages import WithdrawOffer
     from .segments import Segment
@@ -49,7 +49,7 @@
 
 
 def handle_offer(
-    agent: Agent, sender: Address, offer: Offer, now: float
+    agent: AgentState, sender: Address, offer: Offer, now: float
 ) -> list[Action]:
     """Accept or decline a flow that a balancer offers."""
     segment = agent.segment_format.read_caller(offer.packet)
@@ -89,7 +89,7 @@
 
 
 def handle_withdraw_offer(
-    agent: Agent, sender: Address, message: WithdrawOffer, now: float
+    agent: AgentState, sender: Address, message: WithdrawOffer, now: float
 ) -> list[Action]:
     """Drop an offered flow, unless the target has accepted it."""
     key = message.flow
@@ -105,7 +105,7 @@
     return decline(agent, sender, key, DeclineReason.WITHDRAWN, now)
 
 
-def withhold_accept(agent: Agent, segment: Segment) -> list[Action]:
+def withhold_accept(agent: AgentState, segment: Segment) -> list[Action]:
     """Withhold a late acceptance from the caller and report it."""
     declined = agent.declined[segment.flow]
     if not segment.accepts:
@@ -115,7 +115,7 @@
     return [Send(declined.balancer, LateAccept(segment.flow))]
 
 
-def deliver_waiting(agent: Agent, now: float) -> list[Action]:
+def deliver_waiting(agent: AgentState, now: float) -> list[Action]:
     """Deliver waiting flows while the target has capacity.
 
     A target that got a burst of new flows at once would shed those beyond
@@ -139,7 +139,7 @@
 
 
 def decline_expired(
-    agent: Agent, key: bytes, flow: AgentFlow, now: float
+    agent: AgentState, key: bytes, flow: AgentFlow, now: float
 ) -> list[Action]:
     """Decline a waiting flow that the target can't serve any more."""
     if agent.find_state(now) is not TargetState.READY:
@@ -154,7 +154,7 @@
 
 
 def time_out_accept(
-    agent: Agent, key: bytes, flow: AgentFlow, now: float
+    agent: AgentState, key: bytes, flow: AgentFlow, now: float
 ) -> list[Action]:
     """Decline a flow that the target has not accepted in time."""
     agent.record_unanswered(now)
@@ -164,7 +164,7 @@
 
 
 def decline(
-    agent: Agent,
+    agent: AgentState,
     balancer: Address,
     flow: bytes,
     reason: DeclineReason,
@@ -183,7 +183,7 @@
 
 
 def _find_decline_reason(
-    agent: Agent, offer: Offer, candidate: WaitingFlow, now: float
+    agent: AgentState, offer: Offer, candidate: WaitingFlow, now: float
 ) -> DeclineReason | None:
     if offer.service != agent.service:
         return DeclineReason.WRONG_SERVICE
@@ -200,7 +200,11 @@
 
 
 def _forward_late_accept(
-    agent: Agent, accept: Segment, flow: AgentFlow, sender: Address, now: float
+    agent: AgentState,
+    accept: Segment,
+    flow: AgentFlow,
+    sender: Address,
+    now: float,
 ) -> list[Action]:
     """Open a newly offered flow that the target has already accepted."""
     flow.state = AgentFlowState.DELIVERED
@@ -212,7 +216,7 @@
 
 
 def _forward_retransmission(
-    agent: Agent, segment: Segment, flow: AgentFlow, now: float
+    agent: AgentState, segment: Segment, flow: AgentFlow, now: float
 ) -> list[Action]:
     """Deliver an opening packet that the caller has retransmitted."""
     assert flow.balancer is not None
@@ -224,7 +228,7 @@
     return [DeliverToTarget(segment.raw), accepted]
 
 
-def _shed_excess(agent: Agent, load: Load, now: float) -> list[Action]:
+def _shed_excess(agent: AgentState, load: Load, now: float) -> list[Action]:
     """Decline one waiting flow when the queue can't be served in time."""
     drain_ms = estimate_wait(load, load.flows)
     if drain_ms <= WAIT_MAX_MS * QUEUE_SHARE:
@@ -239,7 +243,7 @@
 
 
 def _drop_and_decline(
-    agent: Agent,
+    agent: AgentState,
     key: bytes,
     flow: AgentFlow,
     reason: DeclineReason,
@@ -250,5 +254,5 @@
     return decline(agent, flow.balancer, key, reason, now)
 
 
-def _has_capacity(agent: Agent) -> bool:
+def _has_capacity(agent: AgentState) -> bool:
     return agent.delivered < agent.slots + SPARE_FLOWS
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -2,25 +2,20 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
 
 from ..events import TARGET_CHANGED
 from .actions import Log
-from .activity import DutyCycles
 from .admission import decline_expired
 from .admission import deliver_waiting
 from .admission import handle_offer
 from .admission import handle_withdraw_offer
 from .admission import time_out_accept
 from .admission import withhold_accept
-from .agent_flows import AgentFlow
-from .agent_flows import AgentFlowState
 from .agent_flows import become_idle
 from .agent_flows import CHECK_INTERVAL
-from .agent_flows import DeclinedFlow
 from .agent_flows import drop_flow
 from .agent_flows import EXPECTED_IDLE_MAX
 from .agent_flows import find_lifetime
@@ -30,12 +25,13 @@
 from .agent_flows import OPENING_CHECK_INTERVAL
 from .agent_flows import OPENING_TIMEOUT
 from .agent_flows import set_counted
+from .agent_state import AgentFlowState
+from .agent_state import AgentState
+from .agent_state import TARGET_TIMEOUT
 from .messages import FindOwner
 from .messages import ForwardedPacket
 from .messages import KeptFlows
-from .messages import Load
 from .messages import Offer
-from .messages import TargetState
 from .messages import WithdrawOffer
 from .open_flows import adopt_flow
 from .open_flows import end_flow
@@ -45,168 +41,22 @@
 from .open_flows import leave_flows
 from .open_flows import record_answer
 from .open_flows import recover_flows
-from .placement import ReportIntervals
-from .queueing import WaitingFlow
 
 if TYPE_CHECKING:
     from ..addresses import Address
     from .actions import Action
-    from .segments import SegmentFormat
+    from .agent_state import AgentFlow
+    from .agent_state import TargetAnnouncement
 
 #: Time after which an opening packet that the target has not accepted times
 #: out, in seconds. A target accepts in less than a millisecond, and the caller
 #: retransmits after 0.2.
 ACCEPT_TIMEOUT = 0.07
 
-#: Consecutive opening packets without an answer after which a target is
-#: considered down.
-UNANSWERED_OFFERS_MAX = 3
-
-#: Time for which a target that is considered down gets no offers, in seconds.
-DOWN_PAUSE = 1.0
-
-#: Time without an announcement after which a target with an earlier start time
-#: is accepted as the successor, in seconds: more than two announcements.
-TARGET_TIMEOUT = 3.0
-
-#: Time by which a target must have started before the agent to have flows of
-#: an earlier agent, in milliseconds: when both start together, as after a loss
-#: of power, the agent is ready up to this much later.
-START_GAP_MS = 600
-
-#: Mean handshake time before the first measurement, in seconds: the round
-#: trip to callers through two zones.
-INITIAL_HANDSHAKE_TIME = 0.01
-
-#: Mean service time of a request before the first measurement, in
-#: milliseconds.
-INITIAL_SERVICE_MS = 50.0
-
 
 @attrs.define
-class TargetAnnouncement:
-    """Announcement of a target about its state.
-
-    :param name: name of the target
-    :param started: start time of the target, in milliseconds of wall-clock
-        time
-    :param sequence: number of the announcement since that start
-    :param slots: requests that the target runs concurrently
-    :param leaving: whether the target drains and accepts no new flows
-    :param cold_until: when the target stops being slow after its start
-    """
-
-    name: str
-    started: int
-    sequence: int
-    slots: int
-    leaving: bool
-    cold_until: float
-
-
-@attrs.define
-class Agent:
-    """State of an agent for a target of a pass-through service.
-
-    :param service: name of the target's service
-    :param zone: availability zone of the agent
-    :param segment_format: format of the packets
-    :param started: start time of the agent, in milliseconds of wall-clock time
-    :param started_at: the same on the clock of the ``now`` parameters
-    :param target: newest announcement of the target
-    :param flows: flows that are open at the target or wait for it
-    :param in_progress: number of these flows that count as in progress
-    :param waiting: flows whose opening packet is queued
-    :param declined: flows that were declined after their opening packet was
-        delivered; when the target accepts one late, the caller must not be
-        told before a balancer offers it again
-    :param gone: flows that the target has lost, with the time and the target's
-        initial sequence number
-    :param stopping: whether the agent is shutting down
-    :param recovered_parts: numbers of the messages with flows of the former
-        process that have come back
-    :param recovered: whether the flows of the former process are all known
-    :param counts: counters of packets and decisions by name
-    :param service_ms: mean time for which a request occupies a slot
-    :param expected: mean number of requests that the open flows which do not
-        count as in progress are expected to have in progress
-    :param report_intervals: times between two regular load reports
-    :param duty_cycles: duty cycles of the flows by route
-    :param handshake_time: mean time from a target's acceptance to the caller's
-        next packet, in seconds
-    :param flow_age_max: longest duration of a flow, in seconds
-    """
-
-    service: str
-    zone: str
-    segment_format: SegmentFormat
-    started: int
-    started_at: float
-    flow_age_max: float = 60.0
-    target: TargetAnnouncement | None = None
-    flows: dict[bytes, AgentFlow] = attrs.field(factory=dict)
-    in_progress: int = 0
-    waiting: dict[bytes, WaitingFlow] = attrs.field(factory=dict)
-    declined: dict[bytes, DeclinedFlow] = attrs.field(factory=dict)
-    gone: dict[bytes, tuple[float, int]] = attrs.field(factory=dict)
-    stopping: bool = False
-    recovered_parts: set[int] = attrs.field(factory=set)
-    recovered: bool = False
-    counts: Counter[str] = attrs.field(factory=Counter)
-    service_ms: float = INITIAL_SERVICE_MS
-    expected: float = 0.0
-    report_intervals: ReportIntervals = attrs.field(factory=ReportIntervals)
-    duty_cycles: DutyCycles = attrs.field(factory=DutyCycles)
-    handshake_time: float = INITIAL_HANDSHAKE_TIME
-    _sequence: int = 0
-    _announced_at: float = float('-inf')
-    _unanswered_offers: int = 0
-    _down_until: float = float('-inf')
-    _check_at: float = float('inf')
-
-    @property
-    def slots(self) -> int:
-        """Number of requests that the target runs concurrently."""
-        return self.target.slots if self.target else 0
-
-    @property
-    def delivered(self) -> int:
-        """Number of flows in progress that do not wait here."""
-        return self.in_progress - len(self.waiting)
-
-    def find_next_deadline(self) -> float | None:
-        """Return when :meth:`expire` is due; ``None`` without a timer."""
-        return None if self._check_at == float('inf') else self._check_at
-
-    def describe_load(self, now: float) -> Load:
-        """Return a load report with the next sequence number."""
-        self._sequence += 1
-        target = self.target
-        cold = max(0.0, target.cold_until - now) if target else 0.0
-        return Load(
-            self._sequence,
-            self.started,
-            self.service,
-            self.zone,
-            self.find_state(now),
-            self.slots,
-            self.in_progress,
-            round(self.service_ms, 1),
-            int(cold * 1000),
-            round(max(0.0, self.expected), 3),
-            int(self.report_intervals.local * 1000),
-            int(self.report_intervals.remote * 1000),
-        )
-
-    def find_state(self, now: float) -> TargetState:
-        """Return the state of the target."""
-        if self.target is None:
-            return TargetState.UNKNOWN
-        if self.target.leaving or self.stopping:
-            return TargetState.LEAVING
-        if now < self._down_until:
-            return TargetState.DOWN
-        return TargetState.READY
+class Agent(AgentState):
+    """Dispatches what an agent receives to the decisions about its flows."""
 
     def receive_announcement(
         self, target: TargetAnnouncement, now: float
@@ -307,33 +157,6 @@
             self.check_within(self._down_until - now, now)
         return actions
 
-    def check_within(self, seconds: float, now: float) -> None:
-        """Let the next check of the flows begin in a time at the latest."""
-        self._check_at = min(self._check_at, now + seconds)
-
-    def may_own_earlier_flows(self, now: float) -> bool:
-        """Tell whether the target may have flows that the agent doesn't know.
-
-        These were opened before the agent's start.
-        """
-        if self.recovered:
-            return False
-        age = now - self.started_at
-        if self.target is None:
-            # A target that runs announces itself more often than this.
-            return age <= TARGET_TIMEOUT
-        return (
-            age <= self.flow_age_max
-            and self.target.started < self.started - START_GAP_MS
-        )
-
-    def record_unanswered(self, now: float) -> None:
-        """Record that the target has not accepted a flow in time."""
-        self._unanswered_offers += 1
-        self.counts['offers_unanswered'] += 1
-        if self._unanswered_offers >= UNANSWERED_OFFERS_MAX:
-            self._down_until = now + DOWN_PAUSE
-
     def _is_superseded(
         self, target: TargetAnnouncement, known: TargetAnnouncement, now: float
     ) -> bool:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
@@ -1,20 +1,17 @@
-"""Flows of an agent, and how they count as load."""
+"""Rules of the flows of an agent, and how they count as load."""
 
 from __future__ import annotations
 
-import enum
 from typing import TYPE_CHECKING
 
-import attrs
-
 from .actions import DeliverToCaller
-from .activity import FlowActivity
 from .activity import REQUEST_TIMEOUT
 from .activity import SEQUENCE_RANGE
+from .agent_state import AgentFlowState
 
 if TYPE_CHECKING:
-    from ..addresses import Address
-    from .agent import Agent
+    from .agent_state import AgentFlow
+    from .agent_state import AgentState
     from .segments import Segment
 
 #: Interval at which the flows are checked while some are being opened, in
@@ -53,69 +50,8 @@
 ENDED_TIMEOUT = 5.0
 
 
-class AgentFlowState(enum.Enum):
-    """State of a flow at an agent."""
-
-    #: The opening packet is queued at the agent.
-    WAITING = 'waiting'
-    #: The opening packet was delivered to the target.
-    DELIVERED = 'offered'
-    #: The target has accepted the flow; it is half-open.
-    ACCEPTED = 'accepted'
-    #: The caller has completed the handshake.
-    OPEN = 'open'
-    #: The caller or the target has closed or reset the flow.
-    ENDED = 'ended'
-
-
-@attrs.define
-class AgentFlow:
-    """A flow that an agent owns.
-
-    :param state: state of the flow
-    :param balancer: balancer that forwarded its last packet; ``None`` when the
-        target sent the first packet that the agent has seen
-    :param began_at: when its opening packet arrived
-    :param touched_at: when its last packet passed, in either direction
-    :param accepted_at: when the target accepted it
-    :param sequence: initial sequence number of the target
-    :param opening: its opening packet while it waits
-    :param counted: whether it counts as in progress: it is being opened, or
-        its request is unanswered
-    :param expected: share of a slot that its later requests are expected to
-        occupy, while it is open and does not count as in progress
-    :param activity: progress of its requests
-    """
-
-    state: AgentFlowState
-    balancer: Address | None
-    began_at: float
-    touched_at: float
-    accepted_at: float = 0.0
-    sequence: int = 0
-    opening: bytes = b''
-    counted: bool = True
-    expected: float = 0.0
-    activity: FlowActivity = attrs.field(factory=FlowActivity)
-
-
-@attrs.define
-class DeclinedFlow:
-    """A flow that was declined after its opening packet was delivered.
-
-    :param balancer: balancer that had offered it
-    :param declined_at: when it was declined
-    :param accept: the target's late acceptance, which the caller has not been
-        sent
-    """
-
-    balancer: Address
-    declined_at: float
-    accept: Segment | None = None
-
-
 def forward_to_caller(
-    agent: Agent, segment: Segment, flow: AgentFlow, now: float
+    agent: AgentState, segment: Segment, flow: AgentFlow, now: float
 ) -> DeliverToCaller:
     """Forward a packet of the target, and note that it accepts the flow.
 
@@ -135,7 +71,7 @@
     return DeliverToCaller(segment.flow, segment.raw)
 
 
-def set_counted(agent: Agent, flow: AgentFlow, counted: bool) -> None:
+def set_counted(agent: AgentState, flow: AgentFlow, counted: bool) -> None:
     """Set whether a flow counts as in progress."""
     agent.expected -= flow.expected
     flow.expected = 0.0
@@ -144,7 +80,7 @@
         agent.in_progress += 1 if counted else -1
 
 
-def become_idle(agent: Agent, key: bytes, flow: AgentFlow) -> None:
+def become_idle(agent: AgentState, key: bytes, flow: AgentFlow) -> None:
     """Count the later requests of an open flow instead of the flow."""
     set_counted(agent, flow, False)
     if flow.state is AgentFlowState.OPEN:
@@ -152,14 +88,14 @@
         agent.expected += flow.expected
 
 
-def drop_flow(agent: Agent, key: bytes, flow: AgentFlow) -> None:
+def drop_flow(agent: AgentState, key: bytes, flow: AgentFlow) -> None:
     """Remove a flow, also if it waits."""
     del agent.flows[key]
     set_counted(agent, flow, False)
     agent.waiting.pop(key, None)
 
 
-def is_abandoned(agent: Agent, flow: AgentFlow, age: float) -> bool:
+def is_abandoned(agent: AgentState, flow: AgentFlow, age: float) -> bool:
     """Tell whether a flow in progress no longer occupies a slot.
 
     Its caller has not completed the handshake, has sent no request after
@@ -172,7 +108,7 @@
     return flow.state in pending and age > abandoned_after
 
 
-def find_lifetime(agent: Agent, flow: AgentFlow) -> float:
+def find_lifetime(agent: AgentState, flow: AgentFlow) -> float:
     """Return how long a flow is kept without a packet, in seconds.
 
     An agent doesn't know after which time the routes let a flow be removed. If
@@ -185,7 +121,9 @@
     return agent.flow_age_max
 
 
-def note_gone(agent: Agent, key: bytes, flow: AgentFlow, now: float) -> None:
+def note_gone(
+    agent: AgentState, key: bytes, flow: AgentFlow, now: float
+) -> None:
     """Note that the target has lost a flow that was opened through the agent.
 
     Of a flow that the agent has adopted it can't tell which target opened it.
@@ -194,7 +132,7 @@
         agent.gone[key] = now, flow.sequence
 
 
-def is_gone(agent: Agent, key: bytes, acknowledged: int) -> bool:
+def is_gone(agent: AgentState, key: bytes, acknowledged: int) -> bool:
     """Tell whether the target had a flow of a caller and has lost it.
 
     :param acknowledged: acknowledgement number of a packet of the caller,
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -2,17 +2,13 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from random import Random
 from typing import TYPE_CHECKING
 
 import attrs
 
 from .actions import Send
-from .agent_views import AgentViews
+from .balancer_state import BalancerState
 from .flow_table import FlowEntryState
-from .flow_table import FlowTable
-from .kept_flows import KeptFlowTable
 from .messages import FlowGone
 from .messages import ForwardedPacket
 from .messages import KeptFlows
@@ -37,18 +33,13 @@
 from .owner_search import handle_owner_reply
 from .owner_search import handle_unowned_packet
 from .owner_search import is_search_due
-from .placement import choose_agent
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from ..addresses import Address
     from .actions import Action
-    from .placement import Choice
     from .routes import Route
     from .routes import RouteTable
     from .segments import Segment
-    from .segments import SegmentFormat
 
 #: Largest number of opening packets that are held until the balancer has its
 #: first routes: what callers open at one balancer in a second or two.
@@ -60,34 +51,9 @@
 
 
 @attrs.define
-class Balancer:
-    """State of a balancer for pass-through services.
-
-    :param zone: availability zone of the balancer
-    :param segment_format: format of the packets
-    :param random: breaks ties
-    :param started_at: when the balancer started
-    :param choose_agent: chooses the agent for a new flow
-    :param table: applied routes; ``None`` before the first
-    :param views: agents that send messages
-    :param flows: flow table
-    :param lost_in_succession: number of searches for the owner of a flow that
-        have failed since the last one that succeeded
-    :param kept_flows: flows of agents that restart
-    :param counts: counters of packets and decisions by name
-    """
-
-    zone: str
-    segment_format: SegmentFormat
-    random: Random = attrs.field(factory=Random)
-    started_at: float = float('-inf')
-    choose_agent: Callable[..., Choice | None] = choose_agent
-    table: RouteTable | None = None
-    views: AgentViews = attrs.field(factory=AgentViews)
-    flows: FlowTable = attrs.field(factory=FlowTable)
-    lost_in_succession: int = 0
-    kept_flows: KeptFlowTable = attrs.field(factory=KeptFlowTable)
-    counts: Counter[str] = attrs.field(factory=Counter)
+class Balancer(BalancerState):
+    """Dispatches what a balancer receives to the decisions about flows."""
+
     _held: dict[bytes, tuple[Segment, float]] = attrs.field(factory=dict)
 
     def set_routes(self, table: RouteTable) -> bool:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/offers.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/offers.py
@@ -30,7 +30,7 @@
 if TYPE_CHECKING:
     from ..addresses import Address
     from .actions import Action
-    from .balancer import Balancer
+    from .balancer_state import BalancerState
     from .routes import Route
     from .segments import Segment
 
@@ -63,7 +63,7 @@
 
 
 def receive_opening(
-    balancer: Balancer,
+    balancer: BalancerState,
     route: Route,
     segment: Segment,
     arrived_at: float,
@@ -104,7 +104,11 @@
 
 
 def _offer(
-    balancer: Balancer, route: Route, flow: bytes, entry: FlowEntry, now: float
+    balancer: BalancerState,
+    route: Route,
+    flow: bytes,
+    entry: FlowEntry,
+    now: float,
 ) -> list[Action]:
     """Offer a flow to the best agent, or refuse it when none is left.
 
@@ -136,7 +140,7 @@
 
 
 def _close_opening(
-    balancer: Balancer, flow: bytes, entry: FlowEntry, now: float
+    balancer: BalancerState, flow: bytes, entry: FlowEntry, now: float
 ) -> list[Action]:
     """Refuse a flow that no target accepts, or drop its entry silently.
 
@@ -164,7 +168,7 @@
 
 
 def _choose(
-    balancer: Balancer,
+    balancer: BalancerState,
     route: Route,
     entry: FlowEntry,
     previous: Address | None,
@@ -187,7 +191,7 @@
 
 
 def _send_offer(
-    balancer: Balancer,
+    balancer: BalancerState,
     route: Route,
     flow: bytes,
     entry: FlowEntry,
@@ -223,7 +227,7 @@
 
 
 def _may_find_agent(
-    balancer: Balancer, route: Route, entry: FlowEntry, now: float
+    balancer: BalancerState, route: Route, entry: FlowEntry, now: float
 ) -> bool:
     """Tell whether an agent that can open the flow may report soon.
 
@@ -245,7 +249,7 @@
 
 
 def _describe_offer(
-    balancer: Balancer,
+    balancer: BalancerState,
     flow: bytes,
     entry: FlowEntry,
     choice: Choice,
@@ -265,7 +269,7 @@
 
 
 def time_out_offer(
-    balancer: Balancer, flow: bytes, entry: FlowEntry, now: float
+    balancer: BalancerState, flow: bytes, entry: FlowEntry, now: float
 ) -> list[Action]:
     """Handle an offer that was not answered, or the end of another wait."""
     if entry.agent is not None:
@@ -284,7 +288,7 @@
 
 
 def _offer_again(
-    balancer: Balancer, flow: bytes, entry: FlowEntry, now: float
+    balancer: BalancerState, flow: bytes, entry: FlowEntry, now: float
 ) -> list[Action]:
     route = balancer.table.find(flow) if balancer.table else None
     if route is None:
@@ -294,7 +298,10 @@
 
 
 def handle_offer_accepted(
-    balancer: Balancer, sender: Address, message: OfferAccepted, now: float
+    balancer: BalancerState,
+    sender: Address,
+    message: OfferAccepted,
+    now: float,
 ) -> list[Action]:
     """Handle the answer of an agent that has accepted an offer."""
     balancer.views.record_load(sender, message.load, now, message.flow)
@@ -306,7 +313,7 @@
 
 
 def handle_late_accept(
-    balancer: Balancer, sender: Address, message: LateAccept, now: float
+    balancer: BalancerState, sender: Address, message: LateAccept, now: float
 ) -> list[Action]:
     """Store whose target accepted a flow late; it gets the next offer."""
     entry = balancer.flows.get(message.flow)
@@ -319,7 +326,7 @@
 
 
 def _reassign(
-    balancer: Balancer, flow: bytes, entry: FlowEntry, agent: Address
+    balancer: BalancerState, flow: bytes, entry: FlowEntry, agent: Address
 ) -> list[Action]:
     """Assign a flow to an agent and withdraw the offer to another one."""
     previous, entry.agent = entry.agent, agent
@@ -332,7 +339,10 @@
 
 
 def handle_offer_declined(
-    balancer: Balancer, sender: Address, message: OfferDeclined, now: float
+    balancer: BalancerState,
+    sender: Address,
+    message: OfferDeclined,
+    now: float,
 ) -> list[Action]:
     """Handle the answer of an agent that has declined an offer."""
     balancer.views.record_load(sender, message.load, now, message.flow)
@@ -352,7 +362,7 @@
 
 
 def refuse(
-    balancer: Balancer, flow: bytes, reason: str, offers: int
+    balancer: BalancerState, flow: bytes, reason: str, offers: int
 ) -> list[Action]:
     """Tell the caller of a flow that has not been opened that it won't be."""
     balancer.counts['flows_refused'] += 1
@@ -382,7 +392,7 @@
     return True
 
 
-def _is_live(balancer: Balancer, entry: FlowEntry, now: float) -> bool:
+def _is_live(balancer: BalancerState, entry: FlowEntry, now: float) -> bool:
     view = balancer.views.find(entry.service, entry.agent)
     return (
         view is not None
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -10,8 +10,6 @@
 from .actions import Log
 from .actions import Send
 from .admission import decline
-from .agent_flows import AgentFlow
-from .agent_flows import AgentFlowState
 from .agent_flows import become_idle
 from .agent_flows import CHECK_INTERVAL
 from .agent_flows import drop_flow
@@ -21,6 +19,8 @@
 from .agent_flows import OPENING_CHECK_INTERVAL
 from .agent_flows import OPENING_TIMEOUT
 from .agent_flows import set_counted
+from .agent_state import AgentFlow
+from .agent_state import AgentFlowState
 from .kept_flows import pack_flows
 from .messages import DeclineReason
 from .messages import FlowGone
@@ -32,7 +32,7 @@
 if TYPE_CHECKING:
     from ..addresses import Address
     from .actions import Action
-    from .agent import Agent
+    from .agent_state import AgentState
     from .messages import FindOwner
     from .messages import ForwardedPacket
     from .messages import KeptFlows
@@ -43,7 +43,7 @@
 
 
 def handle_forwarded_packet(
-    agent: Agent, sender: Address, message: ForwardedPacket, now: float
+    agent: AgentState, sender: Address, message: ForwardedPacket, now: float
 ) -> list[Action]:
     """Handle a caller's packet that a balancer has forwarded."""
     segment = agent.segment_format.read_caller(message.packet)
@@ -73,7 +73,7 @@
 
 
 def handle_find_owner(
-    agent: Agent, sender: Address, message: FindOwner, now: float
+    agent: AgentState, sender: Address, message: FindOwner, now: float
 ) -> list[Action]:
     """Answer a balancer that searches for the owner of a flow."""
     if message.service != agent.service:
@@ -89,7 +89,7 @@
 
 
 def leave_flows(
-    agent: Agent, own: Address, holders: tuple[Address, ...], now: float
+    agent: AgentState, own: Address, holders: tuple[Address, ...], now: float
 ) -> list[Action]:
     """Return the messages that leave the open flows with balancers."""
     states = {flow.state for flow in agent.flows.values()}
@@ -106,7 +106,7 @@
 
 
 def recover_flows(
-    agent: Agent, message: KeptFlows, now: float
+    agent: AgentState, message: KeptFlows, now: float
 ) -> list[Action]:
     """Take over flows of the former process of this agent.
 
@@ -124,7 +124,7 @@
 
 
 def handle_returned_packet(
-    agent: Agent, segment: Segment, now: float
+    agent: AgentState, segment: Segment, now: float
 ) -> list[Action]:
     """Return to the balancer a packet that the target has returned."""
     agent.counts['packets_given_back'] += 1
@@ -145,7 +145,7 @@
 
 
 def record_answer(
-    agent: Agent, segment: Segment, flow: AgentFlow, now: float
+    agent: AgentState, segment: Segment, flow: AgentFlow, now: float
 ) -> list[Action]:
     """Free the slot of a request whose answer begins."""
     elapsed = flow.activity.record_target_data(segment, now)
@@ -161,7 +161,7 @@
 
 
 def adopt_flow(
-    agent: Agent, key: bytes, balancer: Address | None, now: float
+    agent: AgentState, key: bytes, balancer: Address | None, now: float
 ) -> AgentFlow:
     """Add a flow that the target may have opened before this start."""
     flow = AgentFlow(AgentFlowState.OPEN, balancer, now, now, counted=False)
@@ -173,7 +173,7 @@
 
 
 def end_flow(
-    agent: Agent, key: bytes, flow: AgentFlow, now: float
+    agent: AgentState, key: bytes, flow: AgentFlow, now: float
 ) -> list[Action]:
     """Note that the caller or the target has ended a flow."""
     if flow.state is AgentFlowState.ENDED:
@@ -197,7 +197,7 @@
 
 
 def _forward_packet(
-    agent: Agent,
+    agent: AgentState,
     sender: Address,
     segment: Segment,
     flow: AgentFlow,
@@ -231,7 +231,7 @@
 
 
 def _return_unowned(
-    agent: Agent, sender: Address, segment: Segment, now: float
+    agent: AgentState, sender: Address, segment: Segment, now: float
 ) -> list[Action]:
     agent.counts['packets_sent_back'] += 1
     if segment.opens:
@@ -242,7 +242,7 @@
 
 
 def _record_request(
-    agent: Agent, segment: Segment, flow: AgentFlow, now: float
+    agent: AgentState, segment: Segment, flow: AgentFlow, now: float
 ) -> None:
     """Occupy a slot for a request that begins."""
     activity = flow.activity
@@ -256,7 +256,7 @@
 
 
 def _report_free_slot(
-    agent: Agent, flow: AgentFlow, now: float
+    agent: AgentState, flow: AgentFlow, now: float
 ) -> list[Action]:
     """Report the load to the balancer of a flow that has freed a slot.
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -26,7 +26,7 @@
 
     from ..addresses import Address
     from .actions import Action
-    from .balancer import Balancer
+    from .balancer_state import BalancerState
     from .routes import Route
     from .segments import Segment
 
@@ -59,7 +59,7 @@
 
 
 def is_search_due(
-    balancer: Balancer, entry: FlowEntry, segment: Segment, now: float
+    balancer: BalancerState, entry: FlowEntry, segment: Segment, now: float
 ) -> bool:
     """Tell whether another search for the owner of a lost flow is worth it.
 
@@ -76,7 +76,7 @@
 
 
 def find_owner(
-    balancer: Balancer,
+    balancer: BalancerState,
     route: Route,
     segment: Segment,
     now: float,
@@ -116,7 +116,10 @@
 
 
 def handle_unowned_packet(
-    balancer: Balancer, sender: Address, message: UnownedPacket, now: float
+    balancer: BalancerState,
+    sender: Address,
+    message: UnownedPacket,
+    now: float,
 ) -> list[Action]:
     """Handle a packet whose flow the agent that got it does not own."""
     balancer.counts['packets_strayed'] += 1
@@ -150,7 +153,7 @@
 
 
 def handle_owner_reply(
-    balancer: Balancer, sender: Address, message: OwnerReply
+    balancer: BalancerState, sender: Address, message: OwnerReply
 ) -> list[Action]:
     """Handle the answer of an agent that owns, or may own, a flow."""
     entry = balancer.flows.get(message.flow)
@@ -170,7 +173,9 @@
     return _assign_owner(balancer, entry, sender, buffered)
 
 
-def _may_get_flow(balancer: Balancer, flow: bytes, agent: Address) -> bool:
+def _may_get_flow(
+    balancer: BalancerState, flow: bytes, agent: Address
+) -> bool:
     """Tell whether an agent that does not know a flow may be tried for it.
 
     The flow's route must name, or have named, the agent's service. A flow that
@@ -183,7 +188,9 @@
     return route is not None and service in list_services(route)
 
 
-def handle_flow_gone(balancer: Balancer, message: FlowGone) -> list[Action]:
+def handle_flow_gone(
+    balancer: BalancerState, message: FlowGone
+) -> list[Action]:
     """Note that the target of the agent that owned a flow has lost it.
 
     The caller may have opened the flow again at another target, whose agent
@@ -196,7 +203,7 @@
 
 
 def _assign_owner(
-    balancer: Balancer,
+    balancer: BalancerState,
     entry: FlowEntry,
     agent: Address,
     packets: Iterable[Segment],
@@ -211,7 +218,7 @@
 
 
 def end_search(
-    balancer: Balancer, flow: bytes, entry: FlowEntry
+    balancer: BalancerState, flow: bytes, entry: FlowEntry
 ) -> list[Action]:
     """End a search in which no agent has claimed the flow for certain."""
     owner = _take_possible_owner(balancer, entry, None)
@@ -240,7 +247,7 @@
 
 
 def _take_possible_owner(
-    balancer: Balancer, entry: FlowEntry, former: Address | None
+    balancer: BalancerState, entry: FlowEntry, former: Address | None
 ) -> Address | None:
     """Return the next agent that may own a flow, or ``None``.
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
@@ -38,7 +38,7 @@
 
     from pistachiohook_core.metrics import Metrics
     from pistachiohook_core.passthrough.actions import Action
-    from pistachiohook_core.passthrough.agent import TargetAnnouncement
+    from pistachiohook_core.passthrough.agent_state import TargetAnnouncement
     from pistachiohook_core.passthrough.segments import SegmentFormat
 
     from ..logs import Report
--- a/tests/core/passthrough/mesh.py
+++ b/tests/core/passthrough/mesh.py
@@ -16,7 +16,7 @@
 from pistachiohook_core.passthrough.actions import ResetCaller
 from pistachiohook_core.passthrough.actions import Send
 from pistachiohook_core.passthrough.agent import Agent
-from pistachiohook_core.passthrough.agent import TargetAnnouncement
+from pistachiohook_core.passthrough.agent_state import TargetAnnouncement
 from pistachiohook_core.passthrough.balancer import Balancer
 from pistachiohook_core.passthrough.messages import FLOW_CODEC
 from pistachiohook_core.passthrough.messages import LoadReport
--- a/tests/core/passthrough/steps/lost_flow_steps.py
+++ b/tests/core/passthrough/steps/lost_flow_steps.py
@@ -9,7 +9,7 @@
 from mesh import encode
 from mesh import ENDS
 from mesh_steps import await_reports
-from pistachiohook_core.passthrough.agent_flows import AgentFlowState
+from pistachiohook_core.passthrough.agent_state import AgentFlowState
 
 
 def restart_target(context):
