--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -44,6 +44,7 @@
       | no change                            | accepted |
       | a truncated end                      | refused  |
       | no content                           | refused  |
+      | a route for uploads                  | accepted |
       | a string as route                    | refused  |
       | a route without a service            | refused  |
       | both a service and weighted backends | refused  |
@@ -57,6 +58,10 @@
       | a port above 65535                   | refused  |
       | a port above 64 bits                 | refused  |
 
+  Scenario: The requests of a route for uploads run at most once
+    When the example configuration is read with a route for uploads
+    Then its requests may run at most once
+
   Scenario Outline: A route set with <case>
     When the example configuration is checked with <case>
     Then it is <outcome>
--- a/tests/platform/steps/format_steps.py
+++ b/tests/platform/steps/format_steps.py
@@ -230,6 +230,7 @@
         'both a service and weighted backends': lambda: first.update(
             Service='s'
         ),
+        'a route for uploads': lambda: second.update(RouteType='upload'),
         'an unknown route type': lambda: first.update(RouteType='odd'),
         'a host name as address': lambda: first.update(Hostname='shop'),
         'a longer prefix': lambda: first.update(PathPrefix='/8443/x/'),
@@ -264,6 +265,12 @@
     context.result = read_configuration(change_configuration(case))
 
 
+@then('its requests may run at most once')
+def check_at_most_once(context):
+    uploads = context.result.unwrap().routes[1]
+    assert not uploads.idempotent
+
+
 @when('the example configuration is checked with {case}')
 def check_changed_configuration(context, case):
     routes = read_configuration(change_configuration(case)).unwrap()
