--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -55,6 +55,7 @@
       | no list of services                  | refused  |
       | a version above 64 bits              | refused  |
       | a timeout above 64 bits              | refused  |
+      | port 0                               | refused  |
       | a port above 65535                   | refused  |
       | a port above 64 bits                 | refused  |
 
--- a/tests/platform/steps/format_steps.py
+++ b/tests/platform/steps/format_steps.py
@@ -237,6 +237,7 @@
         'a string as version': lambda: document.update(Version='7'),
         'a version above 64 bits': lambda: document.update(Version=10**20),
         'a timeout above 64 bits': lambda: second.update(TimeoutMs=10**20),
+        'port 0': lambda: second.update(PathPrefix='/0/'),
         'a port above 65535': lambda: second.update(PathPrefix='/65536/'),
         'a port above 64 bits': lambda: second.update(
             PathPrefix=f'/{10**20}/'
