--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -21,6 +21,8 @@
     DOWN = 'down'
     #: The target has not announced itself yet.
     UNKNOWN = 'unknown'
+    #: The target's availability zone is evacuated: it accepts no new flows.
+    EVACUATED = 'evacuated'
 
 
 class DeclineReason(enum.Enum):
@@ -64,6 +66,12 @@
     :param interval_ms: time between two reports to a balancer of the agent's
         zone
     :param remote_interval_ms: the same for a balancer of another zone
+    :param target_age_ms: time since the target's start, when the agent knows
+        all flows that the target may have; otherwise -1
+    :param cold_allowance: number of flows that the agent would admit now while
+        the target is cold; -1 without a bound
+    :param limit: requests that the target serves well concurrently; 0 when it
+        is not learned, so that ``slots`` counts
     """
 
     sequence: int
@@ -78,6 +86,9 @@
     expected: float = 0.0
     interval_ms: int = 200
     remote_interval_ms: int = 3000
+    target_age_ms: int = -1
+    cold_allowance: float = -1.0
+    limit: int = 0
 
 
 @attrs.frozen
@@ -92,6 +103,8 @@
     :param prompt_ms: remainder of the route's target latency
     :param priority: priority of the flow; 0 is the highest
     :param packet: the opening packet
+    :param cold_rate: requests per second that a cold target of the service
+        bears; 0 without a bound
     """
 
     service: str
@@ -100,6 +113,7 @@
     prompt_ms: float
     priority: int
     packet: bytes
+    cold_rate: float = 0.0
 
 
 @attrs.frozen
@@ -122,11 +136,13 @@
     :param flow: key of the flow
     :param acknowledged: acknowledgement number of the packet that is to be
         forwarded to the owner
+    :param confirm: whether an agent that can't own the flow should say so
     """
 
     service: str
     flow: bytes
     acknowledged: int
+    confirm: bool = False
 
 
 @attrs.frozen
@@ -225,6 +241,18 @@
     flow: bytes
 
 
+@attrs.frozen
+class OwnerDenied:
+    """Answers :class:`FindOwner` with ``confirm``.
+
+    The agent knows all flows that its target may have, and not this one.
+
+    :param flow: key of the flow
+    """
+
+    flow: bytes
+
+
 @attrs.frozen
 class KeptFlows:
     """Leaves flows of an agent that stops with a balancer, or returns them.
@@ -279,6 +307,7 @@
     :param brief: whether the answer should omit the lists of nodes
     :param lists: number of the newest lists that the sender has from the
         receiver, which the answer may omit; 0 when it has none
+    :param evacuation: revision of the evacuated zones that the sender follows
     """
 
     role: str
@@ -286,6 +315,7 @@
     balancers: tuple[Node, ...] = ()
     brief: bool = False
     lists: int = 0
+    evacuation: int = 0
 
 
 @attrs.frozen
@@ -304,6 +334,9 @@
     :param lists: number of the lists, which changes with their content; 0 in
         a brief answer
     :param durable: whether the control instance has a disk
+    :param evacuated: evacuated availability zones
+    :param evacuation: revision of the evacuated zones; 0 before the first
+        evacuation
     """
 
     node: Node
@@ -314,6 +347,8 @@
     balancers: tuple[Node, ...]
     lists: int = 0
     durable: bool = False
+    evacuated: tuple[str, ...] = ()
+    evacuation: int = 0
 
 
 #: Encoding of the messages about flows, each sent as one datagram.
@@ -333,5 +368,6 @@
         12: LateAccept,
         13: FlowGone,
         14: KeptFlows,
+        15: OwnerDenied,
     }
 )
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/routes.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/routes.py
@@ -62,6 +62,20 @@
     former_services: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class ColdRate:
+    """Requests that targets of a service bear just after their start.
+
+    :param service: name of the service
+    :param per_second: requests per second that a cold target bears
+    :param seconds: time for which a target is cold after its start
+    """
+
+    service: str
+    per_second: float
+    seconds: float
+
+
 @attrs.frozen
 class RouteSet:
     """Complete set of routes.
@@ -70,12 +84,14 @@
     :param services: names of the services
     :param routes: the routes
     :param idle_timeout_ms: time after which an idle flow may be removed
+    :param cold_rates: services whose cold targets bear a bounded rate
     """
 
     version: int
     services: tuple[str, ...]
     routes: tuple[Route, ...]
     idle_timeout_ms: int = 15_000
+    cold_rates: tuple[ColdRate, ...] = ()
 
 
 @attrs.frozen
