Expect of open flows only the requests that they begin

Agents expected 3 to 4 requests of 23 to 40 idle flows on one slot, so that all targets seemed full and noise in their service times decided.

The expected share of a flow was learnt from pauses that had ended. The rate of requests is now taken over the whole idle time of all flows of a route, weighted towards the last 10 s, and the expected load is that rate times the service time.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/activity.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/activity.py
@@ -2,24 +2,28 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
 
-from .segments import find_entry
-
 if TYPE_CHECKING:
     from .segments import Segment
 
 #: Number of distinct sequence numbers; they wrap around.
 SEQUENCE_RANGE = 1 << 32
 
-#: Weight of the newest cycle of a request and the pause before it in the sums
-#: from which the duty cycle of a route's flows is learnt.
-CYCLE_WEIGHT = 0.02
+#: Time after which a request, or time without one, counts for little more than
+#: a third in the rate of requests on open flows, in seconds.
+RATE_MEMORY = 10.0
+
+#: Rate at which an idle flow begins requests before any was seen, in requests
+#: per second.
+INITIAL_RATE = 1.0
 
-#: Duty cycle of a route's flows before the first cycle.
-INITIAL_DUTY = 0.05
+#: Idle time that this rate stands for, in seconds: that of one flow, so that
+#: what is measured outweighs it soon.
+PRIOR_IDLE_TIME = 1.0
 
 #: Time after which an unanswered request without a packet in either direction
 #: no longer occupies a slot, in seconds: longer than callers wait for an
@@ -39,7 +43,6 @@
         ``None`` before the first
     :param answered_to: the same for the target's data
     :param busy_since: when the unanswered request began; ``None`` without one
-    :param idle_since: when the last answer began; ``None`` before the first
     :param requests: number of requests that have begun
     :param busy: time for which requests were unanswered, in seconds
     :param shared_by: requests for each slot of the target when the last
@@ -49,7 +52,6 @@
     requested_to: int | None = None
     answered_to: int | None = None
     busy_since: float | None = None
-    idle_since: float | None = None
     requests: int = 0
     busy: float = 0.0
     shared_by: float = 1.0
@@ -84,7 +86,6 @@
         elapsed = now - self.busy_since
         self.busy += elapsed
         self.busy_since = None
-        self.idle_since = now
         return elapsed
 
     def abandon_request(self) -> None:
@@ -93,31 +94,67 @@
 
 
 @attrs.define
-class DutyCycles:
-    """Mean share of its life for which an open flow of a route is busy.
+class _RouteRate:
+    """Requests on the idle open flows of one route, in decaying sums.
+
+    :param idle: number of idle open flows
+    :param idle_time: sum of the time for which flows were idle, in seconds
+    :param requests: number of requests that idle flows have begun
+    """
+
+    idle: int = 0
+    idle_time: float = PRIOR_IDLE_TIME
+    requests: float = PRIOR_IDLE_TIME * INITIAL_RATE
+
+    def advance(self, seconds: float) -> None:
+        """Add the time that has passed, and let older time count less."""
+        kept = math.exp(-seconds / RATE_MEMORY)
+        self.idle_time = self.idle_time * kept + self.idle * seconds
+        self.requests *= kept
+
+
+@attrs.define
+class RequestRates:
+    """Rates at which idle open flows of each route begin requests.
 
-    Flows of one request are busy nearly all their life, and pooled flows
-    mostly a few hundredths of it.
+    The time of flows that have stayed idle counts too. From finished pauses
+    alone, the rate would be far too high while flows are young: only their
+    short pauses have ended by then.
     """
 
-    _busy: dict[bytes, float] = attrs.field(factory=dict)
-    _idle: dict[bytes, float] = attrs.field(factory=dict)
+    _routes: dict[bytes, _RouteRate] = attrs.field(factory=dict)
+    _advanced_at: float | None = None
+
+    def add_idle(self, entry: bytes) -> None:
+        """Add an idle open flow of the route with an entry address."""
+        self._find_route(entry).idle += 1
+
+    def remove_idle(self, entry: bytes) -> None:
+        """Remove an idle open flow."""
+        self._find_route(entry).idle -= 1
 
-    def record_busy(self, flow: bytes, seconds: float) -> None:
-        """Record how long a request of a flow was unanswered."""
-        _blend(self._busy, find_entry(flow), seconds)
+    def record_request(self, entry: bytes, now: float) -> None:
+        """Record that an idle flow has begun a request."""
+        self.advance(now)
+        self._find_route(entry).requests += 1
 
-    def record_idle(self, flow: bytes, seconds: float) -> None:
-        """Record a pause before the next request of a flow, or its end."""
-        _blend(self._idle, find_entry(flow), seconds)
+    def advance(self, now: float) -> None:
+        """Add the time since the last call to that of the idle flows."""
+        if self._advanced_at is not None and now > self._advanced_at:
+            for route in self._routes.values():
+                route.advance(now - self._advanced_at)
+        self._advanced_at = now
 
-    def find_duty(self, flow: bytes) -> float:
-        """Return the expected duty cycle of a flow, from 0 to 1."""
-        entry = find_entry(flow)
-        busy, idle = self._busy.get(entry), self._idle.get(entry)
-        if busy is None or idle is None:
-            return INITIAL_DUTY
-        return busy / (busy + idle) if busy else 0.0
+    def find_total(self) -> float:
+        """Return the expected rate of all idle flows, in requests/s."""
+        return sum(
+            route.idle * route.requests / route.idle_time
+            for route in self._routes.values()
+            if route.idle
+        )
+
+    def _find_route(self, entry: bytes) -> _RouteRate:
+        return self._routes.setdefault(entry, _RouteRate())
 
 
 def is_after(number: int, other: int) -> bool:
@@ -131,8 +168,3 @@
 
 def _is_beyond(end: int, known: int | None) -> bool:
     return known is None or is_after(end, known)
-
-
-def _blend(means: dict[bytes, float], entry: bytes, seconds: float) -> None:
-    known = means.get(entry, seconds)
-    means[entry] = known + (seconds - known) * CYCLE_WEIGHT
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -194,7 +194,7 @@
         if flow.counted and is_abandoned(self, flow, age):
             flow.activity.abandon_request()
             become_idle(self, key, flow)
-        if flow.expected and age > EXPECTED_IDLE_MAX:
+        if flow.expected_on and age > EXPECTED_IDLE_MAX:
             set_counted(self, flow, False)
         if age > find_lifetime(self, flow):
             drop_flow(self, key, flow)
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
@@ -8,6 +8,7 @@
 from .activity import REQUEST_TIMEOUT
 from .activity import SEQUENCE_RANGE
 from .agent_state import AgentFlowState
+from .segments import find_entry
 
 if TYPE_CHECKING:
     from .agent_state import AgentFlow
@@ -73,8 +74,9 @@
 
 def set_counted(agent: AgentState, flow: AgentFlow, counted: bool) -> None:
     """Set whether a flow counts as in progress."""
-    agent.expected -= flow.expected
-    flow.expected = 0.0
+    if flow.expected_on:
+        agent.request_rates.remove_idle(flow.expected_on)
+        flow.expected_on = b''
     if flow.counted != counted:
         flow.counted = counted
         agent.in_progress += 1 if counted else -1
@@ -84,8 +86,8 @@
     """Count the later requests of an open flow instead of the flow."""
     set_counted(agent, flow, False)
     if flow.state is AgentFlowState.OPEN:
-        flow.expected = agent.duty_cycles.find_duty(key)
-        agent.expected += flow.expected
+        flow.expected_on = find_entry(key)
+        agent.request_rates.add_idle(flow.expected_on)
 
 
 def drop_flow(agent: AgentState, key: bytes, flow: AgentFlow) -> None:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
@@ -8,8 +8,8 @@
 
 import attrs
 
-from .activity import DutyCycles
 from .activity import FlowActivity
+from .activity import RequestRates
 from .messages import Load
 from .messages import TargetState
 from .placement import ReportIntervals
@@ -74,8 +74,8 @@
     :param opening: its opening packet while it waits
     :param counted: whether it counts as in progress: it is being opened, or
         its request is unanswered
-    :param expected: share of a slot that its later requests are expected to
-        occupy, while it is open and does not count as in progress
+    :param expected_on: entry address of the route whose open flows it is one
+        of, while it is open and does not count as in progress; else empty
     :param activity: progress of its requests
     """
 
@@ -87,7 +87,7 @@
     sequence: int = 0
     opening: bytes = b''
     counted: bool = True
-    expected: float = 0.0
+    expected_on: bytes = b''
     activity: FlowActivity = attrs.field(factory=FlowActivity)
 
 
@@ -151,10 +151,8 @@
     :param recovered: whether the flows of the former process are all known
     :param counts: counters of packets and decisions by name
     :param service_ms: mean time for which a request occupies a slot
-    :param expected: mean number of requests that the open flows which do not
-        count as in progress are expected to have in progress
     :param report_intervals: times between two regular load reports
-    :param duty_cycles: duty cycles of the flows by route
+    :param request_rates: requests that open flows begin, by route
     :param handshake_time: mean time from a target's acceptance to the caller's
         next packet, in seconds
     :param flow_age_max: longest duration of a flow, in seconds
@@ -177,9 +175,8 @@
     recovered: bool = False
     counts: Counter[str] = attrs.field(factory=Counter)
     service_ms: float = INITIAL_SERVICE_MS
-    expected: float = 0.0
     report_intervals: ReportIntervals = attrs.field(factory=ReportIntervals)
-    duty_cycles: DutyCycles = attrs.field(factory=DutyCycles)
+    request_rates: RequestRates = attrs.field(factory=RequestRates)
     handshake_time: float = INITIAL_HANDSHAKE_TIME
     _sequence: int = 0
     _announced_at: float = float('-inf')
@@ -197,6 +194,11 @@
         """Number of flows in progress that do not wait here."""
         return self.in_progress - len(self.waiting)
 
+    @property
+    def expected(self) -> float:
+        """Mean number of requests that idle open flows have in progress."""
+        return self.request_rates.find_total() * self.service_ms / 1000
+
     def find_next_deadline(self) -> float | None:
         """Return when :meth:`expire` is due; ``None`` without a timer."""
         return None if self._check_at == float('inf') else self._check_at
@@ -204,6 +206,7 @@
     def describe_load(self, now: float) -> Load:
         """Return a load report with the next sequence number."""
         self._sequence += 1
+        self.request_rates.advance(now)
         target = self.target
         cold = max(0.0, target.cold_until - now) if target else 0.0
         return Load(
@@ -216,7 +219,7 @@
             self.in_progress,
             round(self.service_ms, 1),
             int(cold * 1000),
-            round(max(0.0, self.expected), 3),
+            round(self.expected, 3),
             int(self.report_intervals.local * 1000),
             int(self.report_intervals.remote * 1000),
         )
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -151,7 +151,6 @@
     elapsed = flow.activity.record_target_data(segment, now)
     if elapsed is None:
         return []
-    agent.duty_cycles.record_busy(segment.flow, elapsed)
     alone_ms = elapsed * 1000 / flow.activity.shared_by
     agent.service_ms += (alone_ms - agent.service_ms) * MEAN_WEIGHT
     if flow.state is AgentFlowState.ENDED:
@@ -182,8 +181,6 @@
     set_counted(agent, flow, False)
     flow.state = AgentFlowState.ENDED
     activity = flow.activity
-    if activity.busy_since is None and activity.idle_since is not None:
-        agent.duty_cycles.record_idle(key, now - activity.idle_since)
     fields = {
         'flow': describe_flow(key),
         'requests': activity.requests,
@@ -248,9 +245,8 @@
     activity = flow.activity
     if not activity.record_caller_data(segment, now):
         return
-    if activity.idle_since is not None:
-        pause = now - activity.idle_since
-        agent.duty_cycles.record_idle(segment.flow, pause)
+    if flow.expected_on:
+        agent.request_rates.record_request(flow.expected_on, now)
     set_counted(agent, flow, True)
     activity.shared_by = max(1.0, agent.delivered / max(1, agent.slots))
 
--- /dev/null
+++ b/tests/core/passthrough/steps/measure_steps.py
@@ -0,0 +1,84 @@
+"""Steps on what an agent measures of its target and its flows."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+from mesh import ACCEPTS
+from mesh import encode
+from mesh import ENTRY_NUMBER
+from mesh import OPENS
+from mesh import SEGMENT_FORMAT
+from pistachiohook_core.addresses import Address
+from pistachiohook_core.passthrough.agent import Agent
+from pistachiohook_core.passthrough.agent_state import TargetAnnouncement
+from pistachiohook_core.passthrough.messages import ForwardedPacket
+from pistachiohook_core.passthrough.messages import Offer
+from pistachiohook_core.passthrough.segments import make_flow
+
+BALANCER = Address('b0', 1)
+#: Sequence numbers of the first byte of a caller and of a target.
+CALLER_START, TARGET_START = 8, 1001
+
+
+def build_agent(context, slots=1):
+    agent = context.agent = Agent('s', 'x', SEGMENT_FORMAT, 1, 0.0)
+    agent.receive_announcement(
+        TargetAnnouncement('t', 1, 1, slots, False, 0.0), 0.0
+    )
+    return agent
+
+
+def find_flow(port):
+    return make_flow(1, port, ENTRY_NUMBER, 443)
+
+
+def open_flow(agent, port, now, handshake=0.001):
+    """Open a flow; its caller answers the acceptance after a time."""
+    flow = find_flow(port)
+    offer = Offer('s', 1000.0, 1000.0, 300.0, 1, encode(flow, OPENS, 7))
+    agent.receive_message(BALANCER, offer, now)
+    accept = encode(flow, ACCEPTS, TARGET_START - 1, CALLER_START)
+    agent.receive_packet(accept, now)
+    send(agent, port, now + handshake, CALLER_START, 0)
+
+
+def send(agent, port, now, sequence, length):
+    packet = encode(find_flow(port), 0, sequence, TARGET_START, length)
+    agent.receive_message(BALANCER, ForwardedPacket('s', packet), now)
+
+
+def answer(agent, port, now, sequence=TARGET_START, length=100, flags=0):
+    packet = encode(find_flow(port), flags, sequence, 0, length)
+    return agent.receive_packet(packet, now)
+
+
+@given('an agent with {count:d} idle open flows on a route')
+def build_with_flows(context, count):
+    agent = build_agent(context)
+    for port in range(count):
+        open_flow(agent, port, 0.0)
+        send(agent, port, 0.001, CALLER_START, 10)
+        answer(agent, port, 0.031)
+    agent.expire(0.5)
+    agent.describe_load(0.5)
+    context.count = count
+
+
+@when(
+    'half of them begin a request of {work:d} ms after {pause:f} s, and the'
+    ' others none within {length:f} s'
+)
+def use_half(context, work, pause, length):
+    agent = context.agent
+    for port in range(context.count // 2):
+        begin = 0.5 + pause + port * 0.05
+        send(agent, port, begin, CALLER_START + 10, 10)
+        answer(agent, port, begin + work / 1000, TARGET_START + 100)
+    context.load = agent.describe_load(0.5 + length)
+
+
+@then('the flows are expected to have at most {most:f} requests in progress')
+def check_expected(context, most):
+    assert 0 < context.load.expected <= most, context.load
