Let agents of an evacuated availability zone open no flows

Operators need to take a zone out of service and to return it. An agent whose zone is evacuated reports the state 'evacuated', declines offers, waiting flows and opening packets that its target has not accepted, and forwards everything else. Balancers do not wait for such agents. A restarted agent declines flows until control has told the state of its zone, for at most 3 s; an answer of an instance that has no state yet does not count.

--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -193,6 +193,11 @@
     'A message from an older incarnation of a node was dropped.',
     'Look for two processes with the same node name.',
 )
+AGENT_EVACUATION_CHANGED = Event(
+    3110,
+    Level.INFO,
+    "The agent's availability zone was evacuated or returned to service.",
+)
 CONTROL_NO_QUORUM = Event(
     4055,
     Level.WARNING,
@@ -225,6 +230,19 @@
     'Check that a majority of the control instances is up; the sender '
     'repeats the request.',
 )
+EVACUATION_ACCEPTED = Event(
+    4104,
+    Level.INFO,
+    'An order to evacuate an availability zone or to return it was accepted.',
+)
+EVACUATION_OUTCOME_UNKNOWN = Event(
+    4105,
+    Level.WARNING,
+    'The outcome of an order about an evacuation, or of its read, is not '
+    'known.',
+    'Check that a majority of the control instances is up; the sender '
+    'repeats the request.',
+)
 SETTINGS_CHANGED = Event(
     1007, Level.INFO, 'The settings file has changed and was reloaded.'
 )
--- a/packages/pistachiohook-core/src/pistachiohook_core/metrics.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/metrics.py
@@ -1,4 +1,4 @@
-"""Counters and histograms of one process."""
+"""Counters, gauges and histograms of one process."""
 
 from __future__ import annotations
 
@@ -8,6 +8,8 @@
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hdrh.histogram import HdrHistogram
 
 #: Smallest and largest value that a histogram records, in microseconds; other
@@ -23,14 +25,16 @@
 
 @attrs.define
 class Metrics:
-    """Counters and histograms of durations, by name.
+    """Counters, gauges and histograms of durations, by name.
 
     :param counts: value of each counter
     :param histograms: histogram of each kind of duration, in microseconds
+    :param gauges: function that returns the value of each gauge
     """
 
     counts: Counter[str] = attrs.field(factory=Counter)
     histograms: dict[str, HdrHistogram] = attrs.field(factory=dict)
+    gauges: dict[str, Callable[[], float]] = attrs.field(factory=dict)
 
     def count(self, name: str, amount: int = 1) -> None:
         """Increase a counter."""
@@ -60,6 +64,10 @@
             f'pistachiohook_{name}_total {value}'
             for name, value in sorted(self.counts.items())
         ]
+        gauges = [
+            f'pistachiohook_{name} {read()}'
+            for name, read in sorted(self.gauges.items())
+        ]
         quantiles = [
             f'pistachiohook_{name}_seconds{{quantile="{quantile / 100:g}"}} '
             f'{histogram.get_value_at_percentile(quantile) / 1e6:.6f}'
@@ -70,7 +78,7 @@
             f'pistachiohook_{name}_seconds_count {histogram.get_total_count()}'
             for name, histogram in sorted(self.histograms.items())
         ]
-        return '\n'.join([*counters, *quantiles, *totals, ''])
+        return '\n'.join([*counters, *gauges, *quantiles, *totals, ''])
 
 
 def _create_histogram() -> HdrHistogram:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
@@ -14,6 +14,7 @@
 from .agent_state import AgentFlow
 from .agent_state import AgentFlowState
 from .agent_state import DeclinedFlow
+from .agent_state import is_accepted
 from .messages import DeclineReason
 from .messages import LateAccept
 from .messages import Load
@@ -59,6 +60,8 @@
     known = agent.flows.get(segment.flow)
     if known is not None and known.state is not AgentFlowState.ENDED:
         known.balancer = sender
+        if agent.evacuated and not is_accepted(known):
+            return decline_unaccepted(agent, segment.flow, known, now)
         return _forward_retransmission(agent, segment, known, now)
     candidate = WaitingFlow(
         segment.flow,
@@ -153,6 +156,31 @@
     return []
 
 
+def decline_waiting(agent: AgentState, now: float) -> list[Action]:
+    """Decline all waiting flows because the target accepts no new ones."""
+    return [
+        action
+        for key in tuple(agent.waiting)
+        for action in decline_unaccepted(agent, key, agent.flows[key], now)
+    ]
+
+
+def decline_unaccepted(
+    agent: AgentState, key: bytes, flow: AgentFlow, now: float
+) -> list[Action]:
+    """Decline a flow that the target has not accepted, as it is not ready.
+
+    A flow that has ended is kept for the packets that its ends retransmit.
+    """
+    assert flow.balancer is not None
+    reason = DeclineReason.NOT_READY
+    if flow.state is AgentFlowState.ENDED:
+        return decline(agent, flow.balancer, key, reason, now)
+    if flow.state is AgentFlowState.DELIVERED:
+        agent.declined[key] = DeclinedFlow(flow.balancer, now)
+    return _drop_and_decline(agent, key, flow, reason, now)
+
+
 def time_out_accept(
     agent: AgentState, key: bytes, flow: AgentFlow, now: float
 ) -> list[Action]:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -6,9 +6,11 @@
 
 import attrs
 
+from ..events import AGENT_EVACUATION_CHANGED
 from ..events import TARGET_CHANGED
 from .actions import Log
 from .admission import decline_expired
+from .admission import decline_waiting
 from .admission import deliver_waiting
 from .admission import handle_offer
 from .admission import handle_withdraw_offer
@@ -88,6 +90,26 @@
         self.target.leaving = True
         return [self._log_target(self.target)]
 
+    def set_evacuated(self, evacuated: bool, now: float) -> list[Action]:
+        """Follow whether the availability zone of the agent is evacuated.
+
+        Waiting flows are declined at once, so that balancers offer them
+        elsewhere.
+        """
+        self.zone_known = True
+        if evacuated == self.evacuated:
+            return []
+        self.evacuated = evacuated
+        waiting = len(self.waiting)
+        actions = decline_waiting(self, now) if evacuated else []
+        fields = {
+            'zone': self.zone,
+            'evacuated': evacuated,
+            'open': self.count_open(),
+            'waiting': waiting,
+        }
+        return [Log(AGENT_EVACUATION_CHANGED, fields), *actions]
+
     def receive_message(
         self, sender: Address, message: object, now: float
     ) -> list[Action]:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
@@ -36,6 +36,11 @@
 #: of power, the agent is ready up to this much later.
 START_GAP_MS = 600
 
+#: Time from the start of an agent for which it declines flows while it has not
+#: learned whether its availability zone is evacuated, in seconds: it asks
+#: control every 0.1, and after this time control is considered unreachable.
+ZONE_UNKNOWN_MAX = 3.0
+
 #: Mean handshake time before the first measurement, in seconds: the round
 #: trip to callers through two zones.
 INITIAL_HANDSHAKE_TIME = 0.01
@@ -146,6 +151,9 @@
     :param gone: flows that the target has lost, with the time and the target's
         initial sequence number
     :param stopping: whether the agent is shutting down
+    :param zone_known: whether the agent has learned from control if its
+        availability zone is evacuated
+    :param evacuated: whether its availability zone is evacuated
     :param recovered_parts: numbers of the messages with flows of the former
         process that have come back
     :param recovered: whether the flows of the former process are all known
@@ -173,6 +181,8 @@
     declined: dict[bytes, DeclinedFlow] = attrs.field(factory=dict)
     gone: dict[bytes, tuple[float, int]] = attrs.field(factory=dict)
     stopping: bool = False
+    zone_known: bool = True
+    evacuated: bool = False
     recovered_parts: set[int] = attrs.field(factory=set)
     recovered: bool = False
     counts: Counter[str] = attrs.field(factory=Counter)
@@ -222,8 +232,14 @@
         )
 
     def find_state(self, now: float) -> TargetState:
-        """Return the state of the target."""
-        if self.target is None:
+        """Return the state of the target.
+
+        That its zone is evacuated comes first: balancers wait for agents that
+        are in some of the other states.
+        """
+        if self.evacuated:
+            return TargetState.EVACUATED
+        if self.target is None or self._awaits_zone(now):
             return TargetState.UNKNOWN
         if self.target.leaving or self.stopping:
             return TargetState.LEAVING
@@ -251,9 +267,21 @@
             and self.target.started < self.started - START_GAP_MS
         )
 
+    def count_open(self) -> int:
+        """Return the number of flows that the target has accepted."""
+        return sum(map(is_accepted, self.flows.values()))
+
     def record_unanswered(self, now: float) -> None:
         """Record that the target has not accepted a flow in time."""
         self._unanswered_offers += 1
         self.counts['offers_unanswered'] += 1
         if self._unanswered_offers >= UNANSWERED_OFFERS_MAX:
             self._down_until = now + DOWN_PAUSE
+
+    def _awaits_zone(self, now: float) -> bool:
+        return not self.zone_known and now - self.started_at < ZONE_UNKNOWN_MAX
+
+
+def is_accepted(flow: AgentFlow) -> bool:
+    """Tell whether the target has accepted a flow that has not ended."""
+    return flow.state in (AgentFlowState.ACCEPTED, AgentFlowState.OPEN)
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/commands.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/commands.py
@@ -1,4 +1,4 @@
-"""Replicated state: the applied route set as it was accepted."""
+"""Replicated state: the applied route set and the evacuated zones."""
 
 from __future__ import annotations
 
@@ -41,17 +41,80 @@
     changed: bool
 
 
+@attrs.frozen
+class SetEvacuation:
+    """Evacuates an availability zone or returns it to service.
+
+    :param zone: name of the zone
+    :param active: whether the zone is evacuated from now on
+    """
+
+    zone: str
+    active: bool
+
+
+@attrs.frozen
+class EvacuationOutcome:
+    """Outcome of :class:`SetEvacuation`.
+
+    :param revision: revision of the evacuated zones afterwards
+    :param changed: whether the command has changed them
+    """
+
+    revision: int
+    changed: bool
+
+
+@attrs.frozen
+class Evacuation:
+    """The evacuated availability zones.
+
+    :param revision: number of changes so far; 0 before the first one
+    :param zones: names of the evacuated zones, in order
+    """
+
+    revision: int = 0
+    zones: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class ReplicatedState:
+    """Content of a snapshot once a zone has been evacuated.
+
+    :param routes: the applied route set
+    :param evacuation: the evacuated zones
+    """
+
+    routes: ReplaceRoutes
+    evacuation: Evacuation
+
+
 _NO_ROUTES = ReplaceRoutes(0, b'', b'')
 
-#: Encoding of the commands in the replicated log and of their outcomes.
-COMMAND_CODEC = Codec({1: ReplaceRoutes, 2: Outcome})
+#: Encoding of the commands in the replicated log, of their outcomes, and of
+#: snapshots. A snapshot of an earlier version is an encoded
+#: :class:`ReplaceRoutes`.
+COMMAND_CODEC = Codec(
+    {
+        1: ReplaceRoutes,
+        2: Outcome,
+        3: SetEvacuation,
+        4: EvacuationOutcome,
+        5: ReplicatedState,
+    }
+)
 
 
 @attrs.define
 class RouteStateMachine:
-    """Replicated state machine that holds the applied route set."""
+    """Replicated state machine that holds the state of control.
+
+    :param current: the applied route set
+    :param evacuation: the evacuated availability zones
+    """
 
     current: ReplaceRoutes = _NO_ROUTES
+    evacuation: Evacuation = Evacuation()
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply one committed command and return its encoded outcome.
@@ -59,27 +122,55 @@
         :raises ValueError: when the command can't be decoded
         """
         decoded = COMMAND_CODEC.decode(command, f'entry {index}')
-        replacement = decoded.value_or(None)
-        if not isinstance(replacement, ReplaceRoutes):
-            raise ValueError(f'entry {index} does not replace routes')
-        changed = replacement.version > self.current.version
-        if changed:
-            self.current = replacement
-        return COMMAND_CODEC.encode(Outcome(self.current.version, changed))
+        outcome: Outcome | EvacuationOutcome
+        match decoded.value_or(None):
+            case ReplaceRoutes() as replacement:
+                outcome = self._replace_routes(replacement)
+            case SetEvacuation() as change:
+                outcome = self._set_evacuation(change)
+            case _:
+                raise ValueError(f'entry {index} is not a command')
+        return COMMAND_CODEC.encode(outcome)
 
     def take_snapshot(self) -> bytes:
-        """Encode the whole state."""
-        return COMMAND_CODEC.encode(self.current)
+        """Encode the whole state.
+
+        Until the first evacuation the encoding is that of earlier versions,
+        which can read it.
+        """
+        if not self.evacuation.revision:
+            return COMMAND_CODEC.encode(self.current)
+        state = ReplicatedState(self.current, self.evacuation)
+        return COMMAND_CODEC.encode(state)
 
     def restore(self, snapshot: bytes) -> None:
         """Replace the whole state.
 
         :raises ValueError: when the snapshot can't be decoded
         """
-        current = COMMAND_CODEC.decode(snapshot, 'snapshot').value_or(None)
-        if not isinstance(current, ReplaceRoutes):
-            raise ValueError('the snapshot contains no routes')
-        self.current = current
+        match COMMAND_CODEC.decode(snapshot, 'snapshot').value_or(None):
+            case ReplaceRoutes() as current:
+                self.current, self.evacuation = current, Evacuation()
+            case ReplicatedState(routes, evacuation):
+                self.current, self.evacuation = routes, evacuation
+            case _:
+                raise ValueError('the snapshot contains no routes')
+
+    def _replace_routes(self, replacement: ReplaceRoutes) -> Outcome:
+        changed = replacement.version > self.current.version
+        if changed:
+            self.current = replacement
+        return Outcome(self.current.version, changed)
+
+    def _set_evacuation(self, change: SetEvacuation) -> EvacuationOutcome:
+        former = self.evacuation
+        changed = (change.zone in former.zones) != change.active
+        if changed:
+            zones = set(former.zones) ^ {change.zone}
+            self.evacuation = Evacuation(
+                former.revision + 1, tuple(sorted(zones))
+            )
+        return EvacuationOutcome(self.evacuation.revision, changed)
 
 
 def make_command(routes: RouteSet, document: bytes) -> ReplaceRoutes:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/discovery.py
@@ -98,6 +98,8 @@
     _balancers: dict[Node, float] = attrs.field(factory=dict)
     _relayed: dict[Node, float] = attrs.field(factory=dict)
     _controls: dict[Node, float] = attrs.field(factory=dict)
+    _agents: dict[Node, float] = attrs.field(factory=dict)
+    _followed: dict[Node, int] = attrs.field(factory=dict)
     _lists: int = attrs.field(
         factory=lambda: (
             (SystemRandom().getrandbits(LISTS_BITS - 1) | 1) << LISTS_BITS
@@ -111,9 +113,15 @@
         elif hello.role == CONTROL and hello.node != self.node:
             self._register(self._controls, (hello.node,), now)
             self._register(self._relayed, hello.balancers, now)
+        elif hello.role == AGENT:
+            # No answer lists agents, so that they don't change the lists.
+            self._agents[hello.node] = now
+            self._followed[hello.node] = hello.evacuation
 
     def expire(self, now: float) -> None:
         """Remove nodes whose hellos have stopped."""
+        for agent in _drop_older(self._agents, now - NODE_TIMEOUT):
+            del self._followed[agent]
         removed = [
             *_drop_older(self._balancers, now - NODE_TIMEOUT),
             *_drop_older(self._relayed, now - NODE_TIMEOUT),
@@ -176,6 +184,18 @@
         """Return the balancers that are known to any control instance."""
         return tuple({**self._relayed, **self._balancers})
 
+    def count_followers(self, revision: int) -> tuple[int, int]:
+        """Count the agents that send hellos to this instance.
+
+        :param revision: revision of the evacuated zones
+        :returns: number of those that follow the revision or a later one, and
+            of all
+        """
+        following = sum(
+            followed >= revision for followed in self._followed.values()
+        )
+        return following, len(self._followed)
+
     def list_controls(self) -> tuple[Node, ...]:
         """Return the live control instances, including this one."""
         return (self.node, *self._controls)
@@ -187,10 +207,18 @@
 
     :param zone: availability zone of the node
     :param seeds: addresses of control instances from the settings
+    :param evacuation: highest known revision of the evacuated zones
+    :param evacuated: evacuated availability zones at that revision
+    :param informed: whether a control instance has answered that has
+        replicated state, or is confirmed to be up to date without any; one
+        that has just started may have none yet
     """
 
     zone: str
     seeds: tuple[Address, ...]
+    evacuation: int = 0
+    evacuated: tuple[str, ...] = ()
+    informed: bool = False
     _welcomes: dict[Address, tuple[Welcome, float]] = attrs.field(factory=dict)
     _controls: dict[Address, float] = attrs.field(factory=dict)
     _balancers: dict[Node, float] = attrs.field(factory=dict)
@@ -205,6 +233,14 @@
 
         :returns: balancers that were not known, including restarted ones
         """
+        if welcome.evacuation > self.evacuation:
+            self.evacuation = welcome.evacuation
+            self.evacuated = welcome.evacuated
+        self.informed |= (
+            welcome.version > 0
+            or welcome.evacuation > 0
+            or welcome.proof_age_ms <= CONFIRMATION_AGE_MAX_MS
+        )
         listed = self._listed.get(sender)
         if listed is None or not welcome.lists or welcome.controls:
             listed = welcome
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/offers.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/offers.py
@@ -242,8 +242,11 @@
         return True
     views = balancer.views.list_service(entry.service)
     return any(
-        not is_reporting(view, balancer.zone, now)
-        or view.load.state is TargetState.UNKNOWN
+        view.load.state is not TargetState.EVACUATED
+        and (
+            not is_reporting(view, balancer.zone, now)
+            or view.load.state is TargetState.UNKNOWN
+        )
         for view in views
     )
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -10,6 +10,7 @@
 from .actions import Log
 from .actions import Send
 from .admission import decline
+from .admission import decline_unaccepted
 from .agent_flows import become_idle
 from .agent_flows import CHECK_INTERVAL
 from .agent_flows import drop_flow
@@ -21,6 +22,7 @@
 from .agent_flows import set_counted
 from .agent_state import AgentFlow
 from .agent_state import AgentFlowState
+from .agent_state import is_accepted
 from .kept_flows import pack_flows
 from .messages import DeclineReason
 from .messages import FlowGone
@@ -204,6 +206,8 @@
     now: float,
 ) -> list[Action]:
     flow.balancer = sender
+    if agent.evacuated and segment.opens and not is_accepted(flow):
+        return decline_unaccepted(agent, segment.flow, flow, now)
     if flow.state is AgentFlowState.WAITING:
         return []
     actions: list[Action] = [DeliverToTarget(segment.raw)]
@@ -216,6 +220,7 @@
         set_counted(agent, flow, True)
         agent.check_within(OPENING_CHECK_INTERVAL, now)
         flow.state = AgentFlowState.OPEN
+        agent.counts['flows_opened'] += 1
         opening_ms = round((now - flow.began_at) * 1000, 1)
         fields = {
             'flow': describe_flow(segment.flow),
