Serve the calls that evacuate an availability zone

Adds POST /Evacuate.Start/ZONE, POST /Evacuate.End/ZONE and GET /Evacuate.Get to the operators' address of each control instance. Control tells the evacuated zones and their revision in each answer to a hello, agents apply the highest revision, and hellos carry the revision that a node follows. The known zones are read from the settings file at each call, since zones may be added while the process runs. Gauges show the revision, the number of evacuated zones, and at agents the open flows.

--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
@@ -121,7 +121,9 @@
         """Handle a message of a control instance or a balancer."""
         now = self._now()
         if isinstance(message, Welcome):
-            self._report_to(self.finder.receive_welcome(sender, message, now))
+            unknown = self.finder.receive_welcome(sender, message, now)
+            self._follow_evacuation(now)
+            self._report_to(unknown)
             return
         self._execute(self.agent.receive_message(sender, message, now))
 
@@ -142,6 +144,13 @@
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
+    def _follow_evacuation(self, now: float) -> None:
+        """Apply the newest known state of the own availability zone."""
+        if self.finder.informed:
+            evacuated = self.settings.node.zone in self.finder.evacuated
+            self._execute(self.agent.set_evacuated(evacuated, now))
+            self._report_new_state()
+
     def _set_intervals(self) -> None:
         zone = self.settings.node.zone
         balancers = self.finder.list_balancers()
@@ -244,9 +253,16 @@
         started=int(time.time() * 1000) if started is None else started,
         started_at=asyncio.get_running_loop().time(),
         flow_age_max=settings.flow_age_max,
+        zone_known=False,
         counts=metrics.counts,
     )
     finder = Finder(node.zone, node.controls)
+    metrics.gauges |= {
+        'evacuation_revision': lambda: finder.evacuation,
+        'zones_evacuated': lambda: len(finder.evacuated),
+        'zone_evacuated': lambda: int(agent.evacuated),
+        'flows_open': agent.count_open,
+    }
     send = build_sender(link)
     role = AgentRole(settings, agent, finder, outbound, send, report)
     own_node = Node(str(node.link), node.zone)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -10,6 +10,8 @@
 
 import attrs
 from pistachiohook_core.consensus.replica import DynamicMembership
+from pistachiohook_core.events import EVACUATION_ACCEPTED
+from pistachiohook_core.events import EVACUATION_OUTCOME_UNKNOWN
 from pistachiohook_core.events import ROUTES_ACCEPTED
 from pistachiohook_core.events import ROUTES_OUTCOME_UNKNOWN
 from pistachiohook_core.events import ROUTES_REFUSED
@@ -18,6 +20,7 @@
 from pistachiohook_core.passthrough.commands import make_command
 from pistachiohook_core.passthrough.commands import read_document
 from pistachiohook_core.passthrough.commands import RouteStateMachine
+from pistachiohook_core.passthrough.commands import SetEvacuation
 from pistachiohook_core.passthrough.commands import unpack_routes
 from pistachiohook_core.passthrough.discovery import CONTROL
 from pistachiohook_core.passthrough.discovery import Directory
@@ -54,6 +57,7 @@
 if TYPE_CHECKING:
     from pistachiohook_core.addresses import Address
     from pistachiohook_core.metrics import Metrics
+    from pistachiohook_core.passthrough.commands import Evacuation
     from pistachiohook_core.passthrough.routes import RouteSet
     from pistachiohook_core.storage.files import FileOperations
 
@@ -88,7 +92,7 @@
     """State of a running control instance.
 
     :param settings: settings of the control instance
-    :param route_state: replicated route set
+    :param route_state: replicated route set and evacuated zones
     :param replicator: replicates the state to the other instances
     :param proposer: forwards changes to the leader
     :param directory: live nodes
@@ -182,12 +186,7 @@
         :returns: the set as its operator wrote it, empty when there is none;
             or a failure when no quorum has confirmed the read in time
         """
-        try:
-            async with asyncio.timeout(READ_TIMEOUT):
-                result = await self.replicator.read_barrier()
-        except TimeoutError:
-            peer = self.replicator.leader
-            result = Failed(Failure('read', peer, UNKNOWN_OUTCOME))
+        result = await self._confirm_state()
         if isinstance(result, Failed):
             self._report_unknown_outcome(
                 self.route_state.current.version, result.failure()
@@ -197,6 +196,43 @@
             return Success(b'')
         return Success(read_document(self.route_state.current))
 
+    async def set_evacuated(
+        self, zone: str, active: bool
+    ) -> Result[int, Failure]:
+        """Evacuate an availability zone, or return it to service.
+
+        :param zone: name of the zone
+        :param active: whether it is evacuated from now on
+        :returns: the revision of the evacuated zones afterwards; or a failure
+            when the outcome is unknown
+        """
+        command = COMMAND_CODEC.encode(SetEvacuation(zone, active))
+        result = await self.proposer.propose(command, PROPOSE_RETRY_DURATION)
+        if isinstance(result, Failed):
+            self._report_unknown_evacuation(result.failure(), zone)
+            return Failed(result.failure())
+        outcome = COMMAND_CODEC.decode(result.unwrap(), 'leader').unwrap()
+        self.report(
+            EVACUATION_ACCEPTED,
+            zone=zone,
+            evacuated=active,
+            revision=outcome.revision,
+            changed=outcome.changed,
+        )
+        return Success(outcome.revision)
+
+    async def read_evacuation(self) -> Result[Evacuation, Failure]:
+        """Return the newest evacuated zones.
+
+        :returns: the zones; or a failure when no quorum has confirmed the read
+            in time
+        """
+        result = await self._confirm_state()
+        if isinstance(result, Failed):
+            self._report_unknown_evacuation(result.failure())
+            return Failed(result.failure())
+        return Success(self.route_state.evacuation)
+
     def handle_message(self, sender: Address, message: object) -> None:
         """Handle a hello of a node or the answer of another instance."""
         now = asyncio.get_running_loop().time()
@@ -216,6 +252,8 @@
             balancers,
             self.directory.number_lists(message),
             bool(self.settings.data_folder),
+            self.route_state.evacuation.zones,
+            self.route_state.evacuation.revision,
         )
         self.send(sender, welcome)
 
@@ -250,6 +288,26 @@
                 )
                 self.send(address, hello)
 
+    async def _confirm_state(self) -> Result[int, Failure]:
+        """Wait until the replicated state is confirmed as the newest."""
+        try:
+            async with asyncio.timeout(READ_TIMEOUT):
+                return await self.replicator.read_barrier()
+        except TimeoutError:
+            peer = self.replicator.leader
+            return Failed(Failure('read', peer, UNKNOWN_OUTCOME))
+
+    def _report_unknown_evacuation(
+        self, failure: Failure, zone: str = ''
+    ) -> None:
+        self.report(
+            EVACUATION_OUTCOME_UNKNOWN,
+            zone=zone,
+            step=failure.step,
+            peer=failure.peer,
+            reason=failure.reason,
+        )
+
     def _report_unknown_outcome(self, version: int, failure: Failure) -> None:
         self.report(
             ROUTES_OUTCOME_UNKNOWN,
@@ -305,6 +363,10 @@
     link = DatagramSocket(node.link, report)
     link.open()
     own_node = Node(str(node.link), node.zone)
+    metrics.gauges |= {
+        'evacuation_revision': lambda: route_state.evacuation.revision,
+        'zones_evacuated': lambda: len(route_state.evacuation.zones),
+    }
     role = ControlRole(
         settings,
         route_state,
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/polling.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/polling.py
@@ -48,7 +48,14 @@
         for address in controls:
             brief = finder.wants_brief(address, now)
             lists = finder.find_lists(address)
-            send(address, Hello(role, node, brief=brief, lists=lists))
+            hello = Hello(
+                role,
+                node,
+                brief=brief,
+                lists=lists,
+                evacuation=finder.evacuation,
+            )
+            send(address, hello)
         is_reachable = finder.find_newest(now) is not None
         if is_reachable != was_reachable:
             was_reachable = is_reachable
--- a/tests/platform/loopback.py
+++ b/tests/platform/loopback.py
@@ -201,7 +201,10 @@
     folder: Path = attrs.field(factory=lambda: Path(tempfile.mkdtemp()))
     controls: dict = attrs.field(factory=dict)
     operators: dict = attrs.field(factory=dict)
+    #: Addresses of each control instance for nodes and for the others.
+    control_addresses: dict = attrs.field(factory=dict)
     supervisors: dict = attrs.field(factory=dict)
+    metrics: dict = attrs.field(factory=dict)
     balancers: dict = attrs.field(factory=dict)
     readiness: dict = attrs.field(factory=dict)
     agents: dict = attrs.field(factory=dict)
@@ -229,6 +232,10 @@
 
         self.call(poll())
 
+    def add_metrics(self, name):
+        self.metrics[name] = Metrics()
+        return self.metrics[name]
+
     def record_event(self, event, **fields):
         self.events.append((event.number, fields))
 
@@ -247,6 +254,7 @@
         supervisor = self.supervisors[name] = Supervisor(
             name, self.record_event
         )
+        self.control_addresses[name] = link, peer
         settings = ControlSettings(
             self.make_node_settings(name, link),
             data_folder,
@@ -257,10 +265,16 @@
             True,
         )
         role = start_control(
-            settings, KEYS, supervisor, Metrics(), self.record_event
+            settings,
+            KEYS,
+            supervisor,
+            self.add_metrics(name),
+            self.record_event,
         )
         self.operators[name] = find_address()
-        serve_operator(self.operators[name], role, self.record_event)
+        serve_operator(
+            self.operators[name], role, lambda: ('x', 'y'), self.record_event
+        )
         self.controls[name] = role
 
     async def start_diskless(self, name):
@@ -281,7 +295,11 @@
             name, self.record_event
         )
         role = start_balancer(
-            settings, SEGMENT_FORMAT, supervisor, Metrics(), self.record_event
+            settings,
+            SEGMENT_FORMAT,
+            supervisor,
+            self.add_metrics(name),
+            self.record_event,
         )
         self.balancers[name] = role
         self.readiness[name] = find_address()
@@ -298,10 +316,12 @@
         """Port of the balancers, at which callers also receive answers."""
         return next(iter(self.balancers.values())).settings.entry.port
 
-    async def start_agent(self, name):
+    async def start_agent(self, name, zone='x'):
         target = find_address(socket.SOCK_DGRAM)
         settings = AgentSettings(
-            self.make_node_settings(name, find_address(socket.SOCK_DGRAM)),
+            self.make_node_settings(
+                name, find_address(socket.SOCK_DGRAM), zone
+            ),
             's',
             find_address(socket.SOCK_DGRAM),
             target,
@@ -312,7 +332,11 @@
             name, self.record_event
         )
         role = start_agent(
-            settings, SEGMENT_FORMAT, supervisor, Metrics(), self.record_event
+            settings,
+            SEGMENT_FORMAT,
+            supervisor,
+            self.add_metrics(name),
+            self.record_event,
         )
         self.agents[name] = role
         self.announcement_addresses[name] = find_address()
@@ -337,6 +361,17 @@
             f'http://{address}{path}', raise_error=False
         )
 
+    def restart_control(self, name):
+        """Start a stopped control instance with its addresses and disk.
+
+        This process still holds the lock of the folder, so that it is copied.
+        """
+        link, peer = self.control_addresses[name]
+        self.controls[name].proposer.send.__self__.close()
+        folder = self.folder / f'{name}-restarted'
+        shutil.copytree(self.folder / name, folder)
+        self.start_control(name, link, peer, str(folder))
+
     async def stop(self, name):
         await self.supervisors.pop(name).cancel()
 
