--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -80,6 +80,18 @@
     When the example settings are read for each role
     Then control's seeds, the ports and the bounds have the values of the file
 
+  # A file without them must not keep a control instance from starting.
+  Scenario Outline: The availability zones are read from the settings: <table>
+    Then settings with the zones <table> name the zones <names>
+
+    Examples:
+      | table                                | names |
+      | {"x": "r", "y": "r"}                 | x,y   |
+      | {"x": {"Region": "r", "Weight": 1}}  | x     |
+      | {}                                   | -     |
+      | null                                 | -     |
+      | missing                              | -     |
+
   Scenario Outline: Settings with <case>
     When the example settings are read with <case>
     Then it is refused
--- a/tests/platform/steps/evacuation_steps.py
+++ b/tests/platform/steps/evacuation_steps.py
@@ -15,6 +15,9 @@
 from pistachiohook_core.passthrough.messages import TargetState
 from pistachiohook_daemon.control.replicator import Replicator
 
+#: Longest time from the acknowledgement to the last new flow, in seconds.
+EVACUATION_BOUND = 5.0
+
 
 @given('an agent "{name}" in zone "{zone}"')
 def start_agent(context, name, zone):
@@ -97,7 +100,10 @@
 @when('zone "{zone}" is evacuated and the agents follow')
 def evacuate_and_wait(context, zone):
     evacuate(context, zone, True)
+    acknowledged_at = context.platform.loop.time()
     wait_until_followed(context)
+    elapsed = context.platform.loop.time() - acknowledged_at
+    assert elapsed <= EVACUATION_BOUND, elapsed
 
 
 @when('zone "{zone}" is returned to service and the agents follow')
--- a/tests/platform/steps/format_steps.py
+++ b/tests/platform/steps/format_steps.py
@@ -313,6 +313,14 @@
     assert len(links) == 3
 
 
+@then('settings with the zones {table} name the zones {names}')
+def check_zones(context, table, names):
+    zones = {} if table == 'missing' else {'Zones': json.loads(table)}
+    body = json.dumps({**SETTINGS, **zones}).encode()
+    found = read_from_file(body, 'control').unwrap().zones
+    assert ','.join(found) == names.strip('-'), found
+
+
 @when('the example settings are read with {case}')
 def read_changed_settings(context, case):
     settings = copy.deepcopy(SETTINGS)
