Rank agents in a function apart from the choice

Explanations of placements need the ranks and the reasons of exclusions that the choice for a new flow uses.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 import attrs
@@ -11,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Iterable
+    from collections.abc import Iterator
     from random import Random
 
     from ..addresses import Address
@@ -78,6 +80,15 @@
 BUDGET_SHARE = 0.9
 
 
+class Exclusion(enum.Enum):
+    """Why an agent gets no new flows."""
+
+    #: The target accepts no new flows.
+    NOT_READY = 'not ready'
+    #: The agent has sent no message recently.
+    SILENT = 'silent'
+
+
 @attrs.define
 class AgentView:
     """State of an agent as a balancer knows it.
@@ -134,8 +145,16 @@
         self.utilization = (flows + load.expected) / max(1, load.slots)
 
 
+#: State of a target that may get new flows; a lookup in the enumeration for
+#: each agent and new flow would take longer.
+_READY = TargetState.READY
+
+#: Rank of an agent, lower is better: whether it is suspect, its cost in
+#: milliseconds, its utilization, and a random number that breaks ties.
+Rank = tuple[bool, float, float, float]
+
 #: Rank that is worse than that of every agent.
-_WORST = (2, 0.0, 0.0, 0.0)
+_WORST: tuple[int, float, float, float] = (2, 0.0, 0.0, 0.0)
 
 
 @attrs.frozen
@@ -237,19 +256,15 @@
     :param now: time, in seconds
     :returns: the choice; ``None`` when no agent is eligible
     """
-    latency = route.target_latency_ms or TARGET_LATENCY_MS
-    penalty_ms = latency * ZONE_PENALTY_SHARE
     best: AgentView | None = None
     best_rank = second_rank = _WORST
-    for view in views:
-        if view.address in tried or not _is_eligible(view, zone, now):
+    for rank, view in rank_agents(views, route, zone, tried, random, now):
+        # Most agents are behind both, so that one comparison is enough.
+        if rank >= second_rank:
             continue
-        penalty = 0.0 if view.load.zone == zone else penalty_ms
-        cost = view.cost_ms + penalty
-        rank = (view.suspect, cost, view.utilization, random.random())
         if rank < best_rank:
             best, best_rank, second_rank = view, rank, best_rank
-        elif rank < second_rank:
+        else:
             second_rank = rank
     if best is None:
         return None
@@ -260,6 +275,45 @@
     return Choice(best, best.wait_ms, best.wait_ms + lead + PATIENCE_MARGIN_MS)
 
 
+def rank_agents(
+    views: Iterable[AgentView],
+    route: Route,
+    zone: str,
+    tried: Collection[Address],
+    random: Random,
+    now: float,
+) -> Iterator[tuple[Rank, AgentView]]:
+    """Yield the eligible agents with their ranks, in the order of the views.
+
+    It is a generator because the choice for each new flow needs only the two
+    lowest ranks. The parameters are those of :func:`choose_agent`.
+    """
+    latency = route.target_latency_ms or TARGET_LATENCY_MS
+    penalty_ms = latency * ZONE_PENALTY_SHARE
+    draw = random.random
+    for view in views:
+        if view.address in tried or find_exclusion(view, zone, now):
+            continue
+        penalty = 0.0 if view.load.zone == zone else penalty_ms
+        cost = view.cost_ms + penalty
+        yield (view.suspect, cost, view.utilization, draw()), view
+
+
+def find_exclusion(view: AgentView, zone: str, now: float) -> Exclusion | None:
+    """Return why an agent gets no new flows; ``None`` when it is eligible.
+
+    :param view: the agent
+    :param zone: availability zone of the balancer
+    :param now: time, in seconds
+    """
+    load = view.load
+    if load.state is not _READY:
+        return Exclusion.NOT_READY
+    if now - view.heard_at > find_report_timeout(load, zone):
+        return Exclusion.SILENT
+    return None
+
+
 def is_reporting(view: AgentView, zone: str, now: float) -> bool:
     """Tell whether an agent has sent a message recently."""
     return now - view.heard_at <= find_report_timeout(view.load, zone)
@@ -276,8 +330,3 @@
         return LOCAL_REPORTS_MISSED * load.interval_ms / 1000
     awaited = REMOTE_REPORTS_MISSED * load.remote_interval_ms / 1000
     return awaited + REMOTE_REPORT_MARGIN
-
-
-def _is_eligible(view: AgentView, zone: str, now: float) -> bool:
-    ready = view.load.state is TargetState.READY
-    return ready and is_reporting(view, zone, now)
