--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/offers.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/offers.py
@@ -118,8 +118,8 @@
     """
     assert entry.opening is not None
     previous = entry.agent if entry.agent in entry.unanswered else None
-    choice = _choose(balancer, route, entry, previous, now)
-    if choice is None and _may_find_agent(balancer, route, entry, now):
+    choice = choose_next_agent(balancer, route, entry, previous, now)
+    if choice is None and may_find_agent(balancer, route, entry, now):
         entry.agent = None
         balancer.flows.start_timer(flow, entry, now + OFFER_RETRY_DELAY)
         return []
@@ -167,13 +167,19 @@
     return [Log(FLOW_ABANDONED, fields)]
 
 
-def _choose(
+def choose_next_agent(
     balancer: BalancerState,
     route: Route,
     entry: FlowEntry,
     previous: Address | None,
     now: float,
 ) -> Choice | None:
+    """Return the agent that gets the next offer of a flow.
+
+    :param previous: agent whose offer has just timed out, which may get the
+        next one too
+    :returns: the choice; ``None`` when no agent is left
+    """
     view = balancer.views.find(entry.service, entry.late_acceptor)
     entry.late_acceptor = None
     if view is not None:
@@ -226,7 +232,7 @@
     ]
 
 
-def _may_find_agent(
+def may_find_agent(
     balancer: BalancerState, route: Route, entry: FlowEntry, now: float
 ) -> bool:
     """Tell whether an agent that can open the flow may report soon.
