Add pistachiohook explain placement

A balancer of pass-through services answers GET /placement at its administration address with the explanation of a placement, and the command prints it. The administration server takes further routes from its role, and handlers get the query of the URL. 'pistachiohook explain FLOW LOG...' is unchanged.

--- a/packages/pistachiohook-cli/src/pistachiohook_cli/main.py
+++ b/packages/pistachiohook-cli/src/pistachiohook_cli/main.py
@@ -17,6 +17,7 @@
 from .nodes import status
 from .nodes import targets
 from .options import BadInputError
+from .placement import placement
 from .statuses import Status
 
 app = App(
@@ -29,8 +30,12 @@
 )
 control = App(name='control', help='Inspect the control instances.')
 app.command(control)
-for command in (check, apply, show, status, targets, drain, explain):
+for command in (check, apply, show, status, targets, drain):
     app.command(command)
+explanations = App(name='explain')
+app.command(explanations)
+explanations.default(explain)
+explanations.command(placement)
 control.command(control_members, name='members')
 setup_burn(app)
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/endpoints.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/endpoints.py
@@ -12,11 +12,13 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from pistachiohook_core.addresses import Address
     from pistachiohook_core.metrics import Metrics
 
     from .logs import Report
+    from .serving import Handler
     from .serving import HttpRequest
     from .serving import RunningServer
 
@@ -38,8 +40,9 @@
     metrics: Metrics,
     find_health: Callable[[], Health],
     report: Report,
+    role_routes: Mapping[str, Handler],
 ) -> RunningServer:
-    """Serve ``/health``, ``/metrics`` and ``/histograms``.
+    """Serve ``/health``, ``/metrics``, ``/histograms`` and a role's routes.
 
     ``/health`` answers with status 503 while the process is unhealthy.
 
@@ -47,6 +50,7 @@
     :param metrics: metrics to show
     :param find_health: returns the health; called for each request
     :param report: logs an event
+    :param role_routes: further routes, as for :func:`~.serving.serve_http`
     :raises OSError: when the address cannot be bound
     """
 
@@ -65,7 +69,8 @@
         }
         return make_json_response(document)
 
-    routes = {
+    routes: dict[str, Handler] = {
+        **role_routes,
         'GET /health': show_health,
         'GET /metrics': show_metrics,
         'GET /histograms': show_histograms,
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
@@ -7,9 +7,11 @@
 from functools import partial
 import time
 from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
 
 import attrs
 from pistachiohook_core.addresses import Address
+from pistachiohook_core.addresses import parse_address
 from pistachiohook_core.events import ROUTES_CHANGED
 from pistachiohook_core.events import ROUTES_UNREADABLE
 from pistachiohook_core.passthrough.actions import Log
@@ -19,17 +21,21 @@
 from pistachiohook_core.passthrough.commands import unpack_routes
 from pistachiohook_core.passthrough.discovery import BALANCER
 from pistachiohook_core.passthrough.discovery import Finder
+from pistachiohook_core.passthrough.explanation import explain_placement
+from pistachiohook_core.passthrough.explanation import NO_ROUTES
 from pistachiohook_core.passthrough.messages import Node
 from pistachiohook_core.passthrough.messages import Welcome
 from pistachiohook_core.passthrough.routes import build_table
 from pistachiohook_core.passthrough.segments import read_flow
 from pistachiohook_core.passthrough.segments import write_host
+from returns.result import Failure as Failed
 from tornado.httpclient import AsyncHTTPClient
 from tornado.httpclient import HTTPError
 
 from ..datagrams import DatagramSocket
 from ..endpoints import Health
 from ..logs import describe_error
+from ..serving import make_json_response
 from .polling import poll_control
 from .timers import DeadlineTimer
 from .transport import build_receiver
@@ -43,6 +49,8 @@
     from pistachiohook_core.passthrough.segments import SegmentFormat
 
     from ..logs import Report
+    from ..serving import HttpRequest
+    from ..serving import HttpResponse
     from ..supervisor import Supervisor
     from .settings import BalancerSettings
     from .transport import SendMessage
@@ -77,6 +85,13 @@
 #: the fabric stops sending to it after two failed probes, 0.5 s apart.
 SHUTDOWN_FORWARDING_TIME = 3.0
 
+#: Largest number of parameters in a query for a placement.
+QUERY_FIELDS_MAX = 3
+
+#: Largest age in a query for a placement, in milliseconds: long after every
+#: caller has given up.
+AGE_MAX_MS = 60_000
+
 
 @attrs.define
 class BalancerRole:
@@ -124,6 +139,28 @@
             return Health(False, 'no agent is reporting')
         return Health(True, 'serving')
 
+    def show_placement(self, request: HttpRequest) -> HttpResponse:
+        """Show where a new flow would be placed now.
+
+        The query has the parameters ``entry``, the address that the caller
+        sends to, and optionally ``age_ms``, the age of the flow in
+        milliseconds, and ``zone``, the only zone whose agents are listed. The
+        response is :class:`.explanation.Placement` as JSON, or ``error`` with
+        status 400 for an invalid query, 404 for an unknown route and 503
+        without routes.
+        """
+        try:
+            entry, age_ms, zone = _read_placement_query(request.query)
+        except ValueError as error:
+            return make_json_response({'error': str(error)}, 400)
+        now = asyncio.get_running_loop().time()
+        placement = explain_placement(self.balancer, entry, age_ms, now, zone)
+        if isinstance(placement, Failed):
+            reason = placement.failure().reason
+            status = 503 if reason == NO_ROUTES else 404
+            return make_json_response({'error': reason}, status)
+        return make_json_response(attrs.asdict(placement.unwrap()))
+
     async def shut_down(self) -> None:
         """Report unhealthy, and forward until the fabric sends no more."""
         self.stopping = True
@@ -299,3 +336,22 @@
         ),
     )
     return role
+
+
+def _read_placement_query(text: str) -> tuple[Address, float, str]:
+    """Read the query for a placement.
+
+    :param text: query of the URL
+    :returns: entry address, age in milliseconds and zone
+    :raises ValueError: when it is invalid
+    """
+    query = parse_qs(
+        text, strict_parsing=True, max_num_fields=QUERY_FIELDS_MAX
+    )
+    entry = parse_address(query.get('entry', [''])[0])
+    age_ms = float(query.get('age_ms', ['0'])[0])
+    if isinstance(entry, Failed):
+        raise ValueError(f'entry: {entry.failure().reason}')
+    if not 0 <= age_ms <= AGE_MAX_MS:
+        raise ValueError(f'age_ms: expected a number from 0 to {AGE_MAX_MS}')
+    return entry.unwrap(), age_ms, query.get('zone', [''])[0]
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/running.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/running.py
@@ -20,12 +20,14 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from pistachiohook_core.addresses import Address
     from pistachiohook_core.metrics import Metrics
 
     from .endpoints import Health
     from .logs import Report
+    from .serving import Handler
     from .supervisor import Supervisor
 
 #: Exit status after a graceful shutdown.
@@ -45,10 +47,12 @@
 
     :param find_health: returns the health; called by the health endpoint
     :param shut_down: finishes the work in progress and leaves the system
+    :param admin_routes: routes of the role on the administration address
     """
 
     find_health: Callable[[], Health]
     shut_down: Callable[[], Awaitable[None]]
+    admin_routes: Mapping[str, Handler] = attrs.field(factory=dict)
 
 
 async def run_role(
@@ -62,7 +66,8 @@
     """Start a role and run it until a signal stops the process.
 
     :param start: starts the tasks of the role under the supervisor
-    :param admin: address of the health and metrics endpoints
+    :param admin: address of the health and metrics endpoints, and of the
+        role's administration routes
     :param metrics: metrics of the process
     :param supervisor: runs and restarts the tasks of the role
     :param report: logs an event
@@ -76,7 +81,9 @@
     try:
         role = await start()
         _freeze_startup_objects()
-        server = serve_endpoints(admin, metrics, role.find_health, report)
+        server = serve_endpoints(
+            admin, metrics, role.find_health, report, role.admin_routes
+        )
     except start_errors as error:
         report(START_REFUSED, step='start role', error=describe_error(error))
         await supervisor.cancel()
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/serving.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/serving.py
@@ -49,10 +49,12 @@
 
     :param name: last segment of the path
     :param body: the body; empty when there is none
+    :param query: the query of the URL; empty when there is none
     """
 
     name: str
     body: bytes
+    query: str = ''
 
 
 @attrs.frozen
@@ -202,5 +204,7 @@
     )
     if handler is None:
         return HttpResponse(404)
-    response = handler(HttpRequest(name, request.body or b''))
+    response = handler(
+        HttpRequest(name, request.body or b'', request.query or '')
+    )
     return await response if isinstance(response, Awaitable) else response
