Read the rates of cold targets, and refuse regions of routes

ColdStartS and ColdPerS of a service and ColdOver and ColdSlack of the settings were skipped, so that no bound could be configured, and AllowedRegions and Homes of a route were ignored though its flows went to all regions. The rates are now part of the route set and its table, the bounds of the agent's settings, and numbers out of range and regions are refused with the reason. The allowance, a token bucket, is not used yet.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/routes.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/routes.py
@@ -96,11 +96,15 @@
 
 @attrs.frozen
 class RouteTable:
-    """Route set indexed by the packed entry address of each route."""
+    """Route set indexed by the packed entry address of each route.
+
+    ``cold_rates`` holds the rate of each service that has one.
+    """
 
     version: int
     routes: dict[bytes, Route]
     idle_timeout_ms: int
+    cold_rates: dict[str, ColdRate] = attrs.field(factory=dict)
 
     def find(self, flow: bytes) -> Route | None:
         """Return the route of a flow, or ``None`` when there is none."""
@@ -113,6 +117,7 @@
         routes.version,
         {pack_address(route.entry): route for route in routes.routes},
         routes.idle_timeout_ms,
+        {rate.service: rate for rate in routes.cold_rates},
     )
 
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/settings.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/settings.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from pistachiohook_core.passthrough.cold_starts import ColdBounds
 
 if TYPE_CHECKING:
     from pistachiohook_core.addresses import Address
@@ -53,6 +54,7 @@
     :param target: address at which the target receives packets (UDP)
     :param caller_port: port at which callers receive packets
     :param flow_age_max: longest duration of a flow, in seconds
+    :param cold_bounds: bound of the requests that the target gets while cold
     """
 
     node: NodeSettings
@@ -61,6 +63,7 @@
     target: Address
     caller_port: int
     flow_age_max: float
+    cold_bounds: ColdBounds = attrs.field(factory=ColdBounds)
 
 
 @attrs.frozen
--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -58,11 +58,23 @@
       | port 0                               | refused  |
       | a port above 65535                   | refused  |
       | a port above 64 bits                 | refused  |
+      | empty lists of regions               | accepted |
+      | AllowedRegions                       | refused  |
+      | Homes                                | refused  |
+      | a negative ColdPerS                  | refused  |
+      | a string as ColdPerS                 | refused  |
+      | an infinite ColdPerS                 | refused  |
+      | a negative ColdStartS                | refused  |
 
   Scenario: The requests of a route for uploads run at most once
     When the example configuration is read with a route for uploads
     Then its requests may run at most once
 
+  # Guards against a rate that is accepted and not applied.
+  Scenario: The rates of cold targets are read
+    When the example configuration is read with rates of cold targets
+    Then service "s" has a rate of 20 per second for 8 s, and "t" has none
+
   Scenario Outline: A route set with <case>
     When the example configuration is checked with <case>
     Then it is <outcome>
@@ -90,3 +102,5 @@
       | a bad address          |
       | too few internal ports |
       | no listen addresses    |
+      | a negative ColdSlack   |
+      | a ColdOver of 0        |
--- a/tests/platform/steps/format_steps.py
+++ b/tests/platform/steps/format_steps.py
@@ -11,7 +11,12 @@
 
 from behave import then
 from behave import when
+from pistachiohook_core.passthrough.cold_starts import ColdBounds
+from pistachiohook_core.passthrough.commands import pack_routes
+from pistachiohook_core.passthrough.commands import unpack_routes
+from pistachiohook_core.passthrough.routes import build_table
 from pistachiohook_core.passthrough.routes import check_routes
+from pistachiohook_core.passthrough.routes import ColdRate
 from pistachiohook_core.passthrough.segments import describe_flow
 from pistachiohook_core.passthrough.segments import make_flow
 from pistachiohook_platform.documents import read_configuration
@@ -80,7 +85,7 @@
     'Bootstrap': True,
     'DataDir': '/data/x',
     'FaultTolerance': {'Machines': 2, 'Zones': 0},
-    'Bounds': {'GraceS': 6, 'MaxFlowS': 60},
+    'Bounds': {'GraceS': 6, 'MaxFlowS': 60, 'ColdOver': 2, 'ColdSlack': 3},
     'app': '10.1.0.10:8165',
     'Service': 's',
 }
@@ -223,6 +228,7 @@
 def change_configuration(case):
     document = copy.deepcopy(CONFIGURATION)
     first, second = document['Routes']
+    service = document['Services'][0]
     changes = {
         'no change': lambda: None,
         'a string as route': lambda: document['Routes'].append('r3'),
@@ -242,6 +248,19 @@
         'a port above 64 bits': lambda: second.update(
             PathPrefix=f'/{10**20}/'
         ),
+        'empty lists of regions': lambda: first.update(
+            AllowedRegions=[], Homes=[]
+        ),
+        'AllowedRegions': lambda: first.update(AllowedRegions=['x']),
+        'Homes': lambda: second.update(Homes={'x': 1}),
+        'rates of cold targets': lambda: [
+            one.update(ColdStartS=8, ColdPerS=rate)
+            for one, rate in zip(document['Services'], (20, 0), strict=True)
+        ],
+        'a negative ColdPerS': lambda: service.update(ColdPerS=-1),
+        'a string as ColdPerS': lambda: service.update(ColdPerS='20'),
+        'an infinite ColdPerS': lambda: service.update(ColdPerS=float('inf')),
+        'a negative ColdStartS': lambda: service.update(ColdStartS=-0.5),
         'no list of services': lambda: document.pop('Services'),
         'an unknown service': lambda: second.update(Service='u'),
         'two routes for one address': lambda: second.update(
@@ -257,7 +276,7 @@
     }
     if case in changes:
         changes[case]()
-    body = json.dumps(document).encode()
+    body = json.dumps(document).replace('Infinity', '1e999').encode()
     return {'a truncated end': body[:-40], 'no content': b''}.get(case, body)
 
 
@@ -266,6 +285,14 @@
     context.result = read_configuration(change_configuration(case))
 
 
+@then('service "s" has a rate of 20 per second for 8 s, and "t" has none')
+def check_cold_rates(context):
+    routes = context.result.unwrap()
+    assert routes.cold_rates == (ColdRate('s', 20, 8),)
+    assert unpack_routes(pack_routes(routes)) == routes
+    assert build_table(routes).cold_rates == {'s': ColdRate('s', 20, 8)}
+
+
 @then('its requests may run at most once')
 def check_at_most_once(context):
     uploads = context.result.unwrap().routes[1]
@@ -308,6 +335,7 @@
     agent = context.settings['agent']
     assert agent.agent.caller_port == 8172
     assert agent.agent.flow_age_max == 60
+    assert agent.agent.cold_bounds == ColdBounds(2, 3)
     assert agent.node.grace == 6
     links = {str(one.node.link) for one in context.settings.values()}
     assert len(links) == 3
@@ -320,6 +348,10 @@
         settings['Seeds'] = ['control:8166']
     if case == 'too few internal ports':
         settings['InternalPorts'] = [7720, 7721]
+    if case == 'a negative ColdSlack':
+        settings['Bounds']['ColdSlack'] = -1
+    if case == 'a ColdOver of 0':
+        settings['Bounds']['ColdOver'] = 0
     if case == 'no listen addresses':
         settings['Listen'] = {}
     body = json.dumps(settings).encode()
