Bound the rate of requests to cold targets

A target that had just started got its full share of the load, and slowed down or shed requests while it was cold. Its agent now charges new flows and requests on open flows to an allowance that stays within the bound in any second, also across restarts of the agent and the target. Flows that would wait too long for it are declined at once, the most urgent ones are admitted first, and balancers prefer targets with allowance while these answer in time.

Offers carry the rate and the cold time of the service, so that agents need no routes. Without a rate nothing is charged and the allowance is reported as -1. An agent's timer that is set while waiting flows are delivered on a check is no longer dropped by that check.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
@@ -14,17 +14,21 @@
 from .agent_state import AgentFlow
 from .agent_state import AgentFlowState
 from .agent_state import DeclinedFlow
+from .cold_starts import estimate_token_wait
 from .messages import DeclineReason
 from .messages import LateAccept
 from .messages import Load
 from .messages import OfferAccepted
 from .messages import OfferDeclined
 from .messages import TargetState
+from .placement import COLD_SLOWDOWN
 from .placement import estimate_wait
 from .placement import WAIT_MAX_MS
 from .queueing import choose_last
 from .queueing import choose_next
 from .queueing import count_ahead
+from .queueing import count_more_urgent
+from .queueing import order_urgent
 from .queueing import WaitingFlow
 from .segments import describe_flow
 
@@ -47,6 +51,15 @@
 #: are served and the others are refused at once.
 QUEUE_SHARE = 0.75
 
+#: Share of its time that a flow may be expected to wait for the allowance of
+#: a cold target when it is offered. The rest is for more urgent flows that
+#: arrive later, so that few flows wait and are declined nevertheless.
+COLD_SHARE = 0.5
+
+#: Shortest interval at which the allowance of a cold target is checked for
+#: waiting flows, in seconds; rounding may leave a token just incomplete.
+TOKEN_CHECK_INTERVAL = 0.001
+
 
 def handle_offer(
     agent: AgentState, sender: Address, offer: Offer, now: float
@@ -67,6 +80,8 @@
         now + (offer.prompt_ms - agent.service_ms) / 1000,
         now + offer.budget_ms / 1000,
     )
+    if offer.service == agent.service:
+        agent.learn_cold_rate(offer.cold_rate, offer.cold_s, now)
     reason = _find_decline_reason(agent, offer, candidate, now)
     if reason is not None:
         return decline(agent, sender, segment.flow, reason, now)
@@ -79,6 +94,7 @@
     agent.in_progress += 1
     agent.check_within(OPENING_CHECK_INTERVAL, now)
     declined = agent.declined.pop(segment.flow, None)
+    flow.charged = declined is not None and declined.charged
     if declined is not None and declined.accept is not None:
         return _forward_late_accept(agent, declined.accept, flow, sender, now)
     agent.waiting[segment.flow] = candidate
@@ -100,7 +116,9 @@
     # Another balancer may have offered the flow since; its offer stands.
     if flow is not None and flow.balancer == sender:
         if flow.state is AgentFlowState.DELIVERED:
-            agent.declined[key] = DeclinedFlow(sender, now)
+            agent.declined[key] = DeclinedFlow(
+                sender, now, charged=flow.charged
+            )
         drop_flow(agent, key, flow)
     return decline(agent, sender, key, DeclineReason.WITHDRAWN, now)
 
@@ -121,16 +139,28 @@
     A target that got a burst of new flows at once would shed those beyond
     its own short queue.
     """
-    actions: list[Action] = []
+    bounded = bool(agent.waiting) and agent.is_bounded(now)
+    actions = _shed_cold(agent, now) if bounded else []
     while agent.waiting and _has_capacity(agent):
-        chosen = choose_next(agent.waiting.values(), now)
+        chosen = (
+            order_urgent(agent.waiting.values(), now)[0]
+            if bounded
+            else choose_next(agent.waiting.values(), now)
+        )
         assert chosen is not None
         flow = agent.flows[chosen.key]
+        wait = _find_token_wait(agent, 0, now) if bounded else 0.0
+        if wait and not flow.charged:
+            agent.check_within(max(wait, TOKEN_CHECK_INTERVAL), now)
+            break
         ended = decline_expired(agent, chosen.key, flow, now)
         if ended:
             actions += ended
             continue
         del agent.waiting[chosen.key]
+        if bounded and not flow.charged:
+            agent.charge_request(now)
+            flow.charged = True
         flow.state = AgentFlowState.DELIVERED
         flow.touched_at = now
         actions.append(DeliverToTarget(flow.opening))
@@ -159,7 +189,9 @@
     """Decline a flow that the target has not accepted in time."""
     agent.record_unanswered(now)
     assert flow.balancer is not None
-    agent.declined[key] = DeclinedFlow(flow.balancer, now)
+    agent.declined[key] = DeclinedFlow(
+        flow.balancer, now, charged=flow.charged
+    )
     return _drop_and_decline(agent, key, flow, DeclineReason.UNANSWERED, now)
 
 
@@ -192,6 +224,14 @@
     ahead = agent.delivered
     ahead += count_ahead(agent.waiting.values(), candidate, now)
     wait = estimate_wait(agent.describe_load(now), ahead)
+    if agent.is_bounded(now) and not _is_charged(agent, candidate.key):
+        urgent = count_more_urgent(agent.waiting.values(), candidate, now)
+        token_wait = _find_token_wait(agent, urgent, now)
+        longest = _find_token_patience(agent, candidate, now) * COLD_SHARE
+        if token_wait > max(0.0, longest):
+            agent.counts['cold_flows_declined'] += 1
+            return DeclineReason.OVERLOADED
+        wait = max(wait, token_wait * 1000)
     if wait > offer.budget_ms:
         return DeclineReason.OVERLOADED
     if wait > offer.patience_ms:
@@ -254,5 +294,51 @@
     return decline(agent, flow.balancer, key, reason, now)
 
 
+def _shed_cold(agent: AgentState, now: float) -> list[Action]:
+    """Decline the flows that a cold target can't take in time.
+
+    The allowance may shrink while they wait: more urgent flows arrive, and
+    requests on open flows are charged to it.
+    """
+    actions: list[Action] = []
+    kept = 0
+    for waiting in order_urgent(agent.waiting.values(), now):
+        flow = agent.flows[waiting.key]
+        if flow.charged:
+            continue
+        token_wait = _find_token_wait(agent, kept, now)
+        longest = _find_token_patience(agent, waiting, now)
+        if token_wait <= max(0.0, longest):
+            kept += 1
+            continue
+        agent.counts['cold_flows_declined'] += 1
+        actions += _drop_and_decline(
+            agent, waiting.key, flow, DeclineReason.OVERLOADED, now
+        )
+    return actions
+
+
+def _find_token_wait(agent: AgentState, ahead: int, now: float) -> float:
+    return estimate_token_wait(agent.allowance, ahead + 1, now)
+
+
+def _find_token_patience(
+    agent: AgentState, flow: WaitingFlow, now: float
+) -> float:
+    """Return how long a flow may wait for its target's allowance, in seconds.
+
+    It must leave time for a prompt answer: for two round trips, which are the
+    handshake and the ways of the opening packet and of the answer, and for the
+    target's slowness. The time of a warm target is part of ``prompt_until``.
+    """
+    slower_s = (COLD_SLOWDOWN - 1) * agent.service_ms / 1000
+    return flow.prompt_until - now - slower_s - 2 * agent.handshake_time
+
+
+def _is_charged(agent: AgentState, key: bytes) -> bool:
+    """Tell whether an earlier opening packet of a flow was charged."""
+    return key in agent.declined and agent.declined[key].charged
+
+
 def _has_capacity(agent: AgentState) -> bool:
     return agent.delivered < agent.slots + SPARE_FLOWS
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -28,6 +28,7 @@
 from .agent_state import AgentFlowState
 from .agent_state import AgentState
 from .agent_state import TARGET_TIMEOUT
+from .cold_starts import empty_bucket
 from .messages import FindOwner
 from .messages import ForwardedPacket
 from .messages import KeptFlows
@@ -72,12 +73,15 @@
         if known is not None and self._is_superseded(target, known, now):
             return []
         self._announced_at = now
+        cold = self.find_cold_time(now) > 0
         restarted = known is not None and known.started != target.started
         if restarted:
             self._apply_restart()
         elif known is not None and known.leaving:
             target.leaving = True
         self.target = target
+        if self.find_cold_time(now) > 0 and (restarted or not cold):
+            self.allowance = empty_bucket(self.allowance, now)
         same = known is not None and known.leaving == target.leaving
         return [] if same and not restarted else [self._log_target(target)]
 
@@ -147,8 +151,8 @@
         for key, flow in list(self.flows.items()):
             actions += self._expire_flow(key, flow, now)
         self._expire_notes(now)
-        actions += deliver_waiting(self, now)
         self._check_at = float('inf')
+        actions += deliver_waiting(self, now)
         if any(map(is_opening, self.flows.values())):
             self.check_within(OPENING_CHECK_INTERVAL, now)
         elif self.flows or self.declined or self.gone:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
@@ -10,6 +10,12 @@
 
 from .activity import DutyCycles
 from .activity import FlowActivity
+from .cold_starts import Allowance
+from .cold_starts import charge_request
+from .cold_starts import ColdBounds
+from .cold_starts import empty_bucket
+from .cold_starts import set_rate
+from .cold_starts import update_tokens
 from .messages import Load
 from .messages import TargetState
 from .placement import ReportIntervals
@@ -77,6 +83,8 @@
     :param expected: share of a slot that its later requests are expected to
         occupy, while it is open and does not count as in progress
     :param activity: progress of its requests
+    :param charged: whether its next request is charged already to the
+        allowance of its cold target
     """
 
     state: AgentFlowState
@@ -89,6 +97,7 @@
     counted: bool = True
     expected: float = 0.0
     activity: FlowActivity = attrs.field(factory=FlowActivity)
+    charged: bool = False
 
 
 @attrs.define
@@ -99,11 +108,13 @@
     :param declined_at: when it was declined
     :param accept: the target's late acceptance, which the caller has not been
         sent
+    :param charged: whether it is charged to the allowance of its cold target
     """
 
     balancer: Address
     declined_at: float
     accept: Segment | None = None
+    charged: bool = False
 
 
 @attrs.define
@@ -158,6 +169,10 @@
     :param handshake_time: mean time from a target's acceptance to the caller's
         next packet, in seconds
     :param flow_age_max: longest duration of a flow, in seconds
+    :param cold_bounds: bound of the requests that the target gets while cold
+    :param allowance: requests that the target may get while it is cold
+    :param cold_s: time for which targets of the service are cold, in seconds
+    :param cold_since: when the target became cold without a start
     """
 
     service: str
@@ -180,6 +195,10 @@
     expected: float = 0.0
     report_intervals: ReportIntervals = attrs.field(factory=ReportIntervals)
     duty_cycles: DutyCycles = attrs.field(factory=DutyCycles)
+    cold_bounds: ColdBounds = attrs.field(factory=ColdBounds)
+    allowance: Allowance = attrs.field(factory=Allowance)
+    cold_s: float = 0.0
+    cold_since: float = float('-inf')
     handshake_time: float = INITIAL_HANDSHAKE_TIME
     _sequence: int = 0
     _announced_at: float = float('-inf')
@@ -204,8 +223,6 @@
     def describe_load(self, now: float) -> Load:
         """Return a load report with the next sequence number."""
         self._sequence += 1
-        target = self.target
-        cold = max(0.0, target.cold_until - now) if target else 0.0
         return Load(
             self._sequence,
             self.started,
@@ -215,12 +232,66 @@
             self.slots,
             self.in_progress,
             round(self.service_ms, 1),
-            int(cold * 1000),
+            int(self.find_cold_time(now) * 1000),
             round(max(0.0, self.expected), 3),
             int(self.report_intervals.local * 1000),
             int(self.report_intervals.remote * 1000),
+            cold_allowance=self._find_cold_allowance(now),
         )
 
+    def find_cold_time(self, now: float) -> float:
+        """Return how long the target stays cold, in seconds."""
+        if self.target is None:
+            return 0.0
+        until = max(self.target.cold_until, self.cold_since + self.cold_s)
+        return max(0.0, until - now)
+
+    def is_bounded(self, now: float) -> bool:
+        """Tell whether the target is cold and gets a bounded rate."""
+        bounded = self.allowance.per_second > 0
+        return bounded and self.find_cold_time(now) > 0
+
+    def begin_cold(self, now: float) -> None:
+        """Let the target be cold from now on without a start.
+
+        It has got no flows for some time, as in an evacuated zone.
+        """
+        self.cold_since = now
+        self.allowance = empty_bucket(self.allowance, now)
+
+    def learn_cold_rate(
+        self, per_second: float, seconds: float, now: float
+    ) -> None:
+        """Learn the rate of cold targets from an offer.
+
+        While the target is cold, a rate is not raised: balancers with older
+        routes send the former one.
+
+        :param per_second: requests per second; 0 without a bound
+        :param seconds: time for which a target is cold
+        """
+        known = self.allowance.per_second
+        if self.is_bounded(now) and not 0 < per_second <= known:
+            return
+        self.cold_s = seconds
+        if per_second == known:
+            return
+        self.allowance = set_rate(
+            self.allowance, per_second, self.cold_bounds, now
+        )
+
+    def charge_request(self, now: float) -> None:
+        """Charge a request to the allowance of a cold target.
+
+        Until the first announcement the target may be cold.
+        """
+        if self.target is not None and self.find_cold_time(now) <= 0:
+            return
+        self.allowance = charge_request(self.allowance, now)
+        if self.is_bounded(now):
+            self.counts['cold_requests'] += 1
+            self.counts['cold_requests_excess'] += self.allowance.tokens < 0
+
     def find_state(self, now: float) -> TargetState:
         """Return the state of the target."""
         if self.target is None:
@@ -251,6 +322,12 @@
             and self.target.started < self.started - START_GAP_MS
         )
 
+    def _find_cold_allowance(self, now: float) -> float:
+        if not self.is_bounded(now):
+            return -1.0
+        tokens = update_tokens(self.allowance, now).tokens
+        return round(max(0.0, tokens - len(self.waiting)), 3)
+
     def record_unanswered(self, now: float) -> None:
         """Record that the target has not accepted a flow in time."""
         self._unanswered_offers += 1
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -105,6 +105,7 @@
     :param packet: the opening packet
     :param cold_rate: requests per second that a cold target of the service
         bears; 0 without a bound
+    :param cold_s: time for which such a target is cold, in seconds
     """
 
     service: str
@@ -114,6 +115,7 @@
     priority: int
     packet: bytes
     cold_rate: float = 0.0
+    cold_s: float = 0.0
 
 
 @attrs.frozen
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/offers.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/offers.py
@@ -212,6 +212,8 @@
     age_ms = (now - entry.began_at) * 1000
     budget = find_wait_budget(route, age_ms)
     last = entry.offers == OFFERS_MAX
+    rates = balancer.table.cold_rates if balancer.table else {}
+    cold = rates.get(entry.service)
     offer = Offer(
         entry.service,
         budget if last else min(budget, choice.patience_ms),
@@ -219,6 +221,8 @@
         route.target_latency_ms - age_ms,
         route.priority,
         entry.opening.raw,
+        cold.per_second if cold else 0.0,
+        cold.seconds if cold else 0.0,
     )
     return [
         Log(FLOW_OFFERED, _describe_offer(balancer, flow, entry, choice, now)),
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -248,6 +248,9 @@
     activity = flow.activity
     if not activity.record_caller_data(segment, now):
         return
+    if not flow.charged:
+        agent.charge_request(now)
+    flow.charged = False
     if activity.idle_since is not None:
         pause = now - activity.idle_since
         agent.duty_cycles.record_idle(segment.flow, pause)
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
@@ -96,6 +96,8 @@
         target's open flows cause each other
     :param utilization: flows in progress and expected requests for each slot,
         above 1 when flows wait
+    :param exhausted: whether its target is cold and has no allowance left for
+        one more flow
     """
 
     address: Address
@@ -106,6 +108,7 @@
     wait_ms: float = attrs.field(init=False)
     cost_ms: float = attrs.field(init=False)
     utilization: float = attrs.field(init=False)
+    exhausted: bool = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._estimate()
@@ -132,6 +135,7 @@
         self.wait_ms = estimate_wait(load, flows)
         self.cost_ms = self.wait_ms + estimate_recurring_wait(load)
         self.utilization = (flows + load.expected) / max(1, load.slots)
+        self.exhausted = 0 <= load.cold_allowance < len(self.offered) + 1
 
 
 #: Rank that is worse than that of every agent.
@@ -225,7 +229,9 @@
     itself and of the later requests of flows that stay open. A target in
     another zone is charged an additional wait, so that it gets flows only when
     a load peak fills the own zone. Between equal waits, the lower utilization
-    decides. An agent that has not answered an offer comes last rather than
+    decides. A cold target without allowance is charged the route's target
+    latency, so that it gets a flow only when no other target can answer it in
+    time. An agent that has not answered an offer comes last rather than
     being excluded, since the message may have been lost.
 
     :param views: agents of the service
@@ -245,6 +251,8 @@
         if view.address in tried or not _is_eligible(view, zone, now):
             continue
         penalty = 0.0 if view.load.zone == zone else penalty_ms
+        if view.exhausted:
+            penalty += latency
         cost = view.cost_ms + penalty
         rank = (view.suspect, cost, view.utilization, random.random())
         if rank < best_rank:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/queueing.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/queueing.py
@@ -58,5 +58,28 @@
     return sum(_rank(flow, now) < rank for flow in waiting)
 
 
+def order_urgent(
+    waiting: Collection[WaitingFlow], now: float
+) -> list[WaitingFlow]:
+    """Return the flows in the order in which a cold target gets them.
+
+    Flows of a higher priority go first, then those whose answer can still meet
+    the target latency.
+    """
+    return sorted(waiting, key=lambda flow: _rank_urgent(flow, now))
+
+
+def count_more_urgent(
+    waiting: Collection[WaitingFlow], candidate: WaitingFlow, now: float
+) -> int:
+    """Return how many waiting flows a cold target gets before a candidate."""
+    rank = _rank_urgent(candidate, now)
+    return sum(_rank_urgent(flow, now) < rank for flow in waiting)
+
+
+def _rank_urgent(flow: WaitingFlow, now: float) -> tuple[int, bool, float]:
+    return (flow.priority, now > flow.prompt_until, flow.arrived_at)
+
+
 def _rank(flow: WaitingFlow, now: float) -> tuple[bool, int, float]:
     return (now > flow.prompt_until, flow.priority, flow.arrived_at)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
@@ -245,6 +245,7 @@
         started_at=asyncio.get_running_loop().time(),
         flow_age_max=settings.flow_age_max,
         counts=metrics.counts,
+        cold_bounds=settings.cold_bounds,
     )
     finder = Finder(node.zone, node.controls)
     send = build_sender(link)
--- a/tests/core/passthrough/mesh.py
+++ b/tests/core/passthrough/mesh.py
@@ -164,7 +164,7 @@
             action(*arguments)
         self.now = end
 
-    def set_routes(self, *services, idle_timeout_ms=15_000):
+    def set_routes(self, *services, idle_timeout_ms=15_000, cold_rates=()):
         self.version += 1
         shares = tuple(Share(service) for service in services)
         routes = (
@@ -172,7 +172,9 @@
             Route('u', URGENT, shares, 1500, 275, 1),
         )
         routes = routes if services else ()
-        route_set = RouteSet(self.version, services, routes, idle_timeout_ms)
+        route_set = RouteSet(
+            self.version, services, routes, idle_timeout_ms, cold_rates
+        )
         if self.route_set is not None:
             route_set = add_former_services(route_set, self.route_set)
         self.route_set = route_set
@@ -225,14 +227,16 @@
         kept = self.balancers[name].kept_flows
         self.carry_out(name, kept.pass_on(self.address(name)))
 
-    def announce(self, name, started=1, sequence=None, leaving=False):
+    def announce(
+        self, name, started=1, sequence=None, leaving=False, cold_s=0.0
+    ):
         view = TargetAnnouncement(
             name,
             started,
             next(self.order) if sequence is None else sequence,
             self.targets[name].slots,
             leaving,
-            0.0,
+            self.now + cold_s,
         )
         self.agents[name].receive_announcement(view, self.now)
 
