Test that a new start of a target or an agent has no allowance

Two of the three new scenarios, of the target's and of the agent's restart, fail when an announcement doesn't empty it.

--- a/tests/core/passthrough/cold.feature
+++ b/tests/core/passthrough/cold.feature
@@ -81,6 +81,17 @@
       | a new offer after a withdrawal           | 2       |
       | the first request                        | 1       |
 
+  # Guards against a full bucket beside requests that were admitted just before.
+  Scenario Outline: There is no allowance at once when <event>
+    When a cold target has got allowance and <event>
+    Then there is no allowance, and 50 ms later there is some
+
+    Examples:
+      | event                 |
+      | the target restarts   |
+      | the agent restarts    |
+      | the zone was evacuated |
+
   Scenario: Route sets and offers of earlier versions are read
     When a route set and an offer without the rate of cold targets are read
     Then they have no rate
--- a/tests/core/passthrough/steps/cold_steps.py
+++ b/tests/core/passthrough/steps/cold_steps.py
@@ -320,16 +320,50 @@
     assert times[-1] <= bound, times[-10:]
 
 
+def start_agent(now):
+    """Return an agent whose target has announced that it is cold."""
+    agent = Agent('s', 'x', SEGMENT_FORMAT, started=1, started_at=now)
+    target = TargetAnnouncement('t', 1, 1, 4, False, now + COLD_S)
+    agent.receive_announcement(target, now)
+    return agent
+
+
+def make_offer(opening):
+    return Offer('s', 1000, 1000, 275, 1, opening, 20.0, COLD_S)
+
+
+@when('a cold target has got allowance and {event}')
+def empty_allowance(context, event):
+    agent = start_agent(0.0)
+    offer = make_offer(encode(b'f' * 12, OPENS, 7))
+    agent.receive_message(Address('b1', 1), offer, 0.0)
+    assert agent.describe_load(1.0).cold_allowance > 1
+    if event == 'the target restarts':
+        target = TargetAnnouncement('t', 2, 1, 4, False, 1.0 + COLD_S)
+        agent.receive_announcement(target, 1.0)
+    elif event == 'the agent restarts':
+        agent = start_agent(1.0)
+        agent.learn_cold_rate(20.0, COLD_S, 1.0)
+    else:
+        agent.begin_cold(1.0)
+    context.agent = agent
+
+
+@then('there is no allowance, and 50 ms later there is some')
+def check_allowance(context):
+    allowances = [
+        context.agent.describe_load(now).cold_allowance for now in (1.0, 1.06)
+    ]
+    assert allowances[0] == 0 < allowances[1], allowances
+
+
 @when('an opening packet reaches a cold target and {case} follows')
 def charge_once(context, case):
-    agent = Agent('s', 'x', SEGMENT_FORMAT, started=1, started_at=0.0)
+    agent = start_agent(0.0)
     one, other = Address('b1', 1), Address('b2', 1)
-    agent.receive_announcement(
-        TargetAnnouncement('t', 1, 1, 4, False, 10.0), 0.0
-    )
     flow = b'f' * 12
     opening = encode(flow, OPENS, 7)
-    offer = Offer('s', 1000, 1000, 275, 1, opening, 20.0, COLD_S)
+    offer = make_offer(opening)
     actions = agent.receive_message(one, offer, 1.0)
     again = one
     if case == 'an offer of another balancer':
