Test the rate of cold targets from the route set to the agents

A rate that was lost on its way, or bounds of the settings that the agent did not get, failed no test.

--- a/tests/platform/loopback.py
+++ b/tests/platform/loopback.py
@@ -14,6 +14,7 @@
 import attrs
 from pistachiohook_core.addresses import Address
 from pistachiohook_core.metrics import Metrics
+from pistachiohook_core.passthrough.cold_starts import ColdBounds
 from pistachiohook_daemon.clocks import create_event_loop
 from pistachiohook_daemon.keys import LinkKeys
 from pistachiohook_daemon.passthrough.agent import start_agent
@@ -214,6 +215,8 @@
     caller: object = None
     #: Source of the sequence numbers of the heartbeats.
     heartbeat_numbers: object = attrs.field(factory=lambda: count(1))
+    #: Bounds of cold targets in the agents' settings, not the default ones.
+    cold_bounds: object = attrs.field(factory=lambda: ColdBounds(1, 2))
     #: Number and fields of each logged event.
     events: list = attrs.field(factory=list)
 
@@ -307,6 +310,7 @@
             target,
             self.port,
             60.0,
+            self.cold_bounds,
         )
         supervisor = self.supervisors[name] = Supervisor(
             name, self.record_event
--- a/tests/platform/path.feature
+++ b/tests/platform/path.feature
@@ -96,3 +96,11 @@
       | which       |
       | the leading |
       | a following |
+
+  # Guards against a rate that is lost between the route set and the agents.
+  Scenario: Cold targets get the rate that the route set and the settings bound
+    When the operator puts version 3 with 10 requests per second for cold targets
+    And the targets send heartbeats that they are cold for 10000 ms
+    Then every balancer becomes ready
+    And of 40 calls through each balancer within 2 s, each target answers 5 to 24
+    And the agents have the bounds of their settings
--- a/tests/platform/steps/path_steps.py
+++ b/tests/platform/steps/path_steps.py
@@ -113,6 +113,54 @@
         assert send_heartbeat(context, name) == 200
 
 
+@when(
+    'the operator puts version {version:d} with {rate:d} requests per second'
+    ' for cold targets'
+)
+def put_cold_rate(context, version, rate):
+    services = [{'Name': 's', 'ColdStartS': 8, 'ColdPerS': rate}]
+    body = encode_route_set(version, Services=services)
+    assert put_route_set(context, body) == 200
+
+
+@when('the targets send heartbeats that they are cold for {left:d} ms')
+def announce_cold(context, left):
+    for name in context.platform.agents:
+        assert send_heartbeat(context, name, ColdLeftMs=left) == 200
+
+
+@then(
+    'of {number:d} calls through each balancer within {seconds:d} s, each'
+    ' target answers {least:d} to {most:d}'
+)
+def check_cold_calls(context, number, seconds, least, most):
+    platform = context.platform
+
+    async def call(role, delay):
+        await asyncio.sleep(delay)
+        entry = role.settings.entry
+        return await platform.caller.call(entry, SERVICE_ADDRESS)
+
+    async def call_all():
+        await asyncio.gather(
+            *(
+                call(role, seconds * index / number)
+                for role in platform.balancers.values()
+                for index in range(number)
+            )
+        )
+
+    platform.call(call_all())
+    ran = [len(target.ran) for target in platform.targets.values()]
+    assert all(least <= answered <= most for answered in ran), ran
+
+
+@then('the agents have the bounds of their settings')
+def check_bounds(context):
+    for role in context.platform.agents.values():
+        assert role.agent.cold_bounds == context.platform.cold_bounds
+
+
 def is_ready(context, name):
     platform = context.platform
     return (
