Ignore rates of cold targets with which no bound can be computed

An offer with a rate that is no number, or too large for one, made the agent fail on the message. Such a rate is now counted and ignored.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
@@ -14,6 +14,7 @@
 from .cold_starts import charge_request
 from .cold_starts import ColdBounds
 from .cold_starts import empty_bucket
+from .cold_starts import RATE_MAX
 from .cold_starts import set_rate
 from .cold_starts import update_tokens
 from .messages import Load
@@ -270,6 +271,9 @@
         :param per_second: requests per second; 0 without a bound
         :param seconds: time for which a target is cold
         """
+        if not (0 <= per_second <= RATE_MAX and 0 <= seconds <= RATE_MAX):
+            self.counts['cold_rates_invalid'] += 1
+            return
         known = self.allowance.per_second
         if self.is_bounded(now) and not 0 < per_second <= known:
             return
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/cold_starts.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/cold_starts.py
@@ -15,6 +15,10 @@
 #: more, so that rounding can't add a request to a window.
 REFILL_SHARE = 0.99
 
+#: Highest rate per second, and longest cold time in seconds, that is used. A
+#: message could carry numbers with which a bound can't be computed.
+RATE_MAX = 1e9
+
 
 @attrs.frozen
 class ColdBounds:
