--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -231,6 +231,13 @@
     return actions
 
 
+def _charge_request(agent: AgentState, flow: AgentFlow, now: float) -> None:
+    """Charge a request to a cold target, unless its flow was charged."""
+    if not flow.charged:
+        agent.charge_request(now)
+    flow.charged = False
+
+
 def _record_handshake(agent: AgentState, elapsed: float) -> None:
     """Record the time from a target's acceptance to the caller's next packet.
 
@@ -261,6 +268,8 @@
     begins = activity.record_caller_data(segment, now)
     if activity.busy_since is None:
         return
+    if begins:
+        _charge_request(agent, flow, now)
     if begins and flow.expected_on:
         agent.request_rates.record_request(flow.expected_on, now)
     occupies = not activity.is_incomplete
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
@@ -255,6 +255,7 @@
         flow_age_max=settings.flow_age_max,
         zone_known=False,
         counts=metrics.counts,
+        cold_bounds=settings.cold_bounds,
     )
     finder = Finder(node.zone, node.controls)
     metrics.gauges |= {
