Search for owners in the zone first, and tell callers of flows lost in an outage

Causes: agents forgot closed flows after 5 s, while callers use pooled flows for up to 15 s, so that packets that a target would have answered with a reset were searched for; all agents of all zones were asked at once; and no process could tell that nobody had a flow any more.

Closed flows are kept for 20 s. Where there are more than 16 agents, those of the zone are asked first. A balancer that has started in the same outage as all targets it knows resets a flow that no agent claims, from 1.5 s to 10 s after its start.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
@@ -46,9 +46,10 @@
 #: numbers of other flows are rarely so near.
 GONE_RANGE = 1 << 24
 
-#: Time for which a closed flow is kept, in seconds, for packets that its ends
-#: retransmit.
-ENDED_TIMEOUT = 5.0
+#: Time for which a closed flow is kept, in seconds: as long as its caller may
+#: still use it, if it has missed the end. The target then answers with a
+#: reset; forgotten by its agent, it would be searched for at each packet.
+ENDED_TIMEOUT = 20.0
 
 
 def forward_to_caller(
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -33,6 +33,7 @@
 from .owner_search import handle_owner_reply
 from .owner_search import handle_unowned_packet
 from .owner_search import is_search_due
+from .owner_search import widen_search
 
 if TYPE_CHECKING:
     from ..addresses import Address
@@ -131,8 +132,12 @@
                 self.flows.start_timer(flow, entry, now + OFFER_TIMEOUT)
             elif entry.state is FlowEntryState.OFFERED:
                 actions += time_out_offer(self, flow, entry, now)
+            elif (
+                entry.state is FlowEntryState.SEARCHING and not entry.asked_all
+            ):
+                actions += widen_search(self, flow, entry, now)
             elif entry.state is FlowEntryState.SEARCHING:
-                actions += end_search(self, flow, entry)
+                actions += end_search(self, flow, entry, now)
         return actions
 
     def expire_idle(self, now: float) -> None:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/flow_table.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/flow_table.py
@@ -57,6 +57,7 @@
         the agent started, and which have not been tried yet
     :param guesses: agents that were tried because they might own the flow,
         since its owner was last known
+    :param asked_all: whether the agents of all zones have been asked
     :param gone: whether the agent that owned the flow has said that its target
         has lost it
     :param timer_id: number of the running timer; earlier ones are superseded
@@ -82,6 +83,7 @@
     buffered: list[Segment] = attrs.field(factory=list)
     possible_owners: list[Address] = attrs.field(factory=list)
     guesses: int = 0
+    asked_all: bool = True
     gone: bool = False
     timer_id: int = 0
     deadline_extended: bool = False
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -138,13 +138,11 @@
     :param flow: key of the flow
     :param acknowledged: acknowledgement number of the packet that is to be
         forwarded to the owner
-    :param confirm: whether an agent that can't own the flow should say so
     """
 
     service: str
     flow: bytes
     acknowledged: int
-    confirm: bool = False
 
 
 @attrs.frozen
@@ -243,18 +241,6 @@
     flow: bytes
 
 
-@attrs.frozen
-class OwnerDenied:
-    """Answers :class:`FindOwner` with ``confirm``.
-
-    The agent knows all flows that its target may have, and not this one.
-
-    :param flow: key of the flow
-    """
-
-    flow: bytes
-
-
 @attrs.frozen
 class KeptFlows:
     """Leaves flows of an agent that stops with a balancer, or returns them.
@@ -370,6 +356,5 @@
         12: LateAccept,
         13: FlowGone,
         14: KeptFlows,
-        15: OwnerDenied,
     }
 )
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -16,6 +16,7 @@
 from .messages import FlowGone
 from .messages import ForwardedPacket
 from .messages import OwnerReply
+from .messages import TargetState
 from .messages import UnownedPacket
 from .routes import choose_service
 from .routes import list_services
@@ -27,6 +28,7 @@
     from ..addresses import Address
     from .actions import Action
     from .balancer_state import BalancerState
+    from .placement import AgentView
     from .routes import Route
     from .segments import Segment
 
@@ -34,6 +36,15 @@
 #: reasons as for an offer.
 FIND_TIMEOUT = 0.06
 
+#: Largest number of agents that are all asked at once. Of more, those of the
+#: balancer's zone are asked first: they own most of its flows, and many
+#: searches at a time would fill the link of a small instance.
+ASKED_AT_ONCE_MAX = 16
+
+#: Time to wait for the answer of an owner in the zone, in seconds, before the
+#: other agents are asked.
+LOCAL_FIND_TIMEOUT = 0.02
+
 #: Time between two searches for packets that only end a flow, in seconds:
 #: longer than a caller repeats such a packet.
 ENDING_SEARCH_PAUSE = 12.0
@@ -52,6 +63,19 @@
 #: counts as broken; so it waits until its own agent is back.
 GUESSES_MAX = 2
 
+#: Age of a balancer from which it knows the agents that serve, in seconds:
+#: they learn of it within a second and then report at once.
+AGENTS_KNOWN_AFTER = 1.5
+
+#: Age of a balancer up to which a flow that no agent claims may be one of
+#: those that an outage of the whole system has ended, in seconds. Callers use
+#: their open flows again within it.
+OUTAGE_TIME = 10.0
+
+#: Time by which a target may have started before a balancer in the same
+#: outage, in seconds: what the imports take on a busy instance.
+OUTAGE_START_GAP = 2.0
+
 #: Largest number of packets that are buffered while the owner of their flow is
 #: searched for. A caller has no more than 16 in flight and retransmits dropped
 #: ones.
@@ -83,7 +107,7 @@
     tried: Iterable[Address] = (),
     gone: bool = False,
 ) -> list[Action]:
-    """Ask all agents which one owns a flow.
+    """Ask the agents which one owns a flow, those of the zone first.
 
     The flow may be older than the routes, and at a target of a service that
     its route no longer names.
@@ -93,6 +117,9 @@
     :param gone: whether one of them has said that its target has lost it
     """
     known = balancer.flows.get(segment.flow)
+    views = tuple(balancer.views.list_all())
+    local = tuple(_list_views(balancer, local=True))
+    asks_all = len(views) <= ASKED_AT_ONCE_MAX or not local
     entry = FlowEntry(
         choose_service(route, segment.flow),
         FlowEntryState.SEARCHING,
@@ -101,20 +128,47 @@
         buffered=[segment],
         guesses=0 if known is None else known.guesses,
         gone=gone,
+        asked_all=asks_all,
     )
     balancer.flows.store(segment.flow, entry)
-    balancer.flows.start_timer(segment.flow, entry, now + FIND_TIMEOUT)
+    timeout = FIND_TIMEOUT if asks_all else LOCAL_FIND_TIMEOUT
+    balancer.flows.start_timer(segment.flow, entry, now + timeout)
     balancer.counts['owner_searches'] += 1
+    return _ask(entry, segment, views if asks_all else local)
+
+
+def _list_views(balancer: BalancerState, local: bool) -> Iterable[AgentView]:
+    """Return the agents of the balancer's zone, or of the other ones."""
+    return (
+        view
+        for view in balancer.views.list_all()
+        if (view.load.zone == balancer.zone) == local
+    )
+
+
+def _ask(
+    entry: FlowEntry, segment: Segment, views: Iterable[AgentView]
+) -> list[Action]:
     return [
         Send(
             view.address,
             FindOwner(view.load.service, segment.flow, segment.acknowledged),
         )
-        for view in balancer.views.list_all()
+        for view in views
         if view.address not in entry.tried
     ]
 
 
+def widen_search(
+    balancer: BalancerState, flow: bytes, entry: FlowEntry, now: float
+) -> list[Action]:
+    """Ask the agents of other zones when none of the zone claims a flow."""
+    entry.asked_all = True
+    balancer.flows.start_timer(flow, entry, now + FIND_TIMEOUT)
+    views = _list_views(balancer, local=False)
+    return _ask(entry, entry.buffered[0], views)
+
+
 def handle_unowned_packet(
     balancer: BalancerState,
     sender: Address,
@@ -218,7 +272,7 @@
 
 
 def end_search(
-    balancer: BalancerState, flow: bytes, entry: FlowEntry
+    balancer: BalancerState, flow: bytes, entry: FlowEntry, now: float
 ) -> list[Action]:
     """End a search in which no agent has claimed the flow for certain."""
     owner = _take_possible_owner(balancer, entry, None)
@@ -234,11 +288,15 @@
         'dropped': len(entry.buffered),
     }
     segment = entry.buffered[-1]
-    if not entry.gone or segment.resets:
-        entry.state = FlowEntryState.LOST
-        entry.buffered.clear()
+    entry.state = FlowEntryState.LOST
+    entry.buffered.clear()
+    waits = segment.length > 0 and not segment.ends
+    if segment.resets or not (
+        entry.gone or (waits and _is_after_outage(balancer, now))
+    ):
         return [Log(FLOW_LOST, fields)]
-    balancer.flows.remove(flow)
+    if entry.gone:
+        balancer.flows.remove(flow)
     balancer.counts['flows_gone'] += 1
     return [
         Log(FLOW_GONE, fields),
@@ -246,6 +304,27 @@
     ]
 
 
+def _is_after_outage(balancer: BalancerState, now: float) -> bool:
+    """Tell whether the whole system has started together with this balancer.
+
+    Then no target has flows from before, and every agent knows all flows of
+    its target. A single older target shows that only some processes have
+    started. An agent without a target tells nothing: a target that has left
+    comes back in no outage.
+    """
+    age = now - balancer.started_at
+    if not AGENTS_KNOWN_AFTER <= age <= OUTAGE_TIME:
+        return False
+    starts = [
+        view.load.target_age_ms / 1000 + now - view.heard_at
+        if view.load.target_age_ms >= 0
+        else float('inf')
+        for view in balancer.views.list_all()
+        if view.load.state is not TargetState.UNKNOWN
+    ]
+    return bool(starts) and max(starts) <= age + OUTAGE_START_GAP
+
+
 def _take_possible_owner(
     balancer: BalancerState, entry: FlowEntry, former: Address | None
 ) -> Address | None:
--- a/tests/core/passthrough/lost_flows.feature
+++ b/tests/core/passthrough/lost_flows.feature
@@ -139,6 +139,40 @@
       | stops as planned         | 0    |
       | is killed                | 2    |
 
+  # Guards against callers that wait until their deadline on flows that ended
+  # with their targets; and against resets of flows whose targets go on.
+  Scenario Outline: After a start of <what>, a caller whose flow no agent knows is <told>
+    Given 2 balancers in zone "x" with 6 agents
+    And a caller has opened a flow of 45000 ms through "b0"
+    When there is a start of <what>, and the caller sends another packet 1.6 s later
+    Then the flow was <told>
+
+    Examples:
+      | what                                       | told      |
+      | all targets, agents and balancers          | reset     |
+      | all targets, agents and balancers, one of them without a target | reset |
+      | the balancers, while the flow's agent is away | not reset |
+      | all targets and agents                     | not reset |
+      | all targets but one, agents and balancers  | not reset |
+
+  # Guards against full links of small instances: each search for an unknown
+  # flow sent a message to every agent of all zones.
+  Scenario: The owner of a flow in the zone is found without asking other zones
+    Given balancers in zones "x" and "y" with 12 agents each
+    And a caller has opened a flow of 45000 ms through "bx"
+    When "bx" restarts, and the caller sends another packet
+    Then the owner has got the packet, and 12 agents were asked
+    When the owner goes on in zone "y", and the caller sends another packet
+    Then the owner has got the packet, and 24 agents were asked
+
+  # Guards against callers that wait until their deadline on a flow that their
+  # target closed when it was idle.
+  Scenario: A caller that has missed the end of an idle flow is answered by its target
+    Given 1 balancers in zone "x" with 3 agents
+    And a caller has opened a flow of 45000 ms through "b0"
+    When the target ends the flow, and the caller sends another packet 12 s later
+    Then its agent has handed the packet to the target
+
   # Guards against flows of another service that has taken over an address.
   Scenario: Flows that were left at an address go to no other service
     Given 1 balancers in zone "x" with 1 agents
--- a/tests/core/passthrough/steps/lost_flow_steps.py
+++ b/tests/core/passthrough/steps/lost_flow_steps.py
@@ -657,3 +657,106 @@
     mesh.announce(context.owner, 1)
     mesh.run(0.5)
     send_another(context)
+
+
+def start_targets(mesh, names):
+    for name in names:
+        mesh.targets[name].flows.clear()
+        mesh.start_agent(name)
+        mesh.announce(name, int(mesh.now * 1000))
+
+
+@when(
+    'there is a start of {what}, and the caller sends another packet'
+    ' {late:g} s later'
+)
+def start_again(context, what, late):
+    mesh = context.mesh
+    prepare_loss(context)
+    mesh.run(20)
+    spared = next(name for name in mesh.agents if name != context.owner)
+    names = [name for name in mesh.agents if name != spared]
+    if 'targets' in what:
+        start_targets(mesh, names)
+    if 'targets' in what and 'but one' not in what:
+        start_targets(mesh, [spared])
+    if 'without a target' in what:
+        mesh.start_agent(spared)
+    if 'away' in what:
+        del mesh.agents[context.owner]
+    if 'balancers' in what:
+        for name in mesh.balancers:
+            mesh.restart_balancer(name)
+    mesh.run(late)
+    send_alone(context)
+    mesh.run(0.2)
+
+
+@then('the flow was reset')
+def check_told(context):
+    assert context.flow.outcome == 'broken', context.flow
+
+
+def send_and_count(context):
+    """Send a packet; count the agents that are asked for its flow."""
+    mesh = context.mesh
+    mesh.targets[context.owner].runs.clear()
+    before = mesh.messages_from['bx']
+    send_alone(context)
+    mesh.run(0.15)
+    context.messages = mesh.messages_from['bx'] - before
+
+
+@when('"{name}" restarts, and the caller sends another packet')
+def restart_and_send(context, name):
+    prepare_loss(context)
+    context.mesh.restart_balancer(name)
+    context.mesh.run(4)
+    send_and_count(context)
+
+
+@when(
+    'the owner goes on in zone "{zone}", and the caller sends another packet'
+)
+def move_owner(context, zone):
+    mesh = context.mesh
+    former = context.owner
+    context.owner = next(
+        name for name in mesh.agents if mesh.zones[name] == zone
+    )
+    for place in (mesh.agents, mesh.targets):
+        flows, other = place[former].flows, place[context.owner].flows
+        other[context.flow.flow] = flows.pop(context.flow.flow)
+    mesh.restart_balancer('bx')
+    mesh.run(4)
+    send_and_count(context)
+
+
+@then('the owner has got the packet, and {count:d} agents were asked')
+def check_asked(context, count):
+    assert context.mesh.targets[context.owner].runs[context.flow.flow] == 1
+    # One more message forwards the packet.
+    assert context.messages == count + 1, context.messages
+
+
+@when(
+    'the target ends the flow, and the caller sends another packet {late:d} s'
+    ' later'
+)
+def end_idle_flow(context, late):
+    mesh = context.mesh
+    prepare_loss(context)
+    sequence = mesh.targets[context.owner].flows[context.flow.flow] + 1
+    end = encode(context.flow.flow, ENDS, sequence)
+    mesh.send_from_target(context.owner, end)
+    mesh.run(late)
+    context.flow.outcome = ''
+    mesh.targets[context.owner].runs.clear()
+    mesh.balancers['b0'].expire_idle(mesh.now)
+    send_alone(context)
+    mesh.run(0.1)
+
+
+@then('its agent has handed the packet to the target')
+def check_handed(context):
+    assert context.mesh.targets[context.owner].runs[context.flow.flow] == 1
