Let an agent claim an ended flow only for packets of that flow

Agents keep ended flows for 20 s. A caller that uses the same port for another flow meanwhile could have had its packets sent to the target of the former one, when its balancer searches for the owner: the agent claimed the flow whatever its packet acknowledged. A packet now has to acknowledge data of this target. The new row of the scenarios fails without the change.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
@@ -168,6 +168,8 @@
     """
     if flow.state in (AgentFlowState.WAITING, AgentFlowState.DELIVERED):
         return True
-    # The first packet after the opening one acknowledges the number after it.
     ahead = (acknowledged - flow.sequence) % SEQUENCE_RANGE
+    if flow.state is AgentFlowState.ENDED and flow.sequence:
+        return not 0 < ahead < GONE_RANGE
+    # The first packet after the opening one acknowledges the number after it.
     return flow.state is AgentFlowState.ACCEPTED and ahead != 1
--- a/tests/core/passthrough/lost_flows.feature
+++ b/tests/core/passthrough/lost_flows.feature
@@ -173,6 +173,19 @@
     When the target ends the flow, and the caller sends another packet 12 s later
     Then its agent has handed the packet to the target
 
+  # Guards against packets that go to a target whose flow has ended, after the
+  # caller has used the same port for a flow elsewhere.
+  Scenario Outline: The agent of a flow that has ended <claims> a packet that acknowledges <what>
+    Given an agent with one slot
+    When a flow has ended at its target
+    And a balancer asks for the owner of a packet that acknowledges <what>
+    Then the agent <claims> the flow
+
+    Examples:
+      | what                 | claims         |
+      | data of its target   | claims         |
+      | data of another target | does not claim |
+
   # Guards against flows of another service that has taken over an address.
   Scenario: Flows that were left at an address go to no other service
     Given 1 balancers in zone "x" with 1 agents
--- a/tests/core/passthrough/steps/measure_steps.py
+++ b/tests/core/passthrough/steps/measure_steps.py
@@ -7,12 +7,14 @@
 from behave import when
 from mesh import ACCEPTS
 from mesh import encode
+from mesh import ENDS
 from mesh import ENTRY_NUMBER
 from mesh import OPENS
 from mesh import SEGMENT_FORMAT
 from pistachiohook_core.addresses import Address
 from pistachiohook_core.passthrough.agent import Agent
 from pistachiohook_core.passthrough.agent_state import TargetAnnouncement
+from pistachiohook_core.passthrough.messages import FindOwner
 from pistachiohook_core.passthrough.messages import ForwardedPacket
 from pistachiohook_core.passthrough.messages import Offer
 from pistachiohook_core.passthrough.segments import make_flow
@@ -159,3 +161,24 @@
     assert agent.in_progress == 1
     agent.expire(begin + bound / 1000)
     assert agent.in_progress == 0
+
+
+@when('a flow has ended at its target')
+def end_at_target(context):
+    open_flow(context.agent, 0, 0.0)
+    answer(context.agent, 0, 0.1, flags=ENDS)
+
+
+@when(
+    'a balancer asks for the owner of a packet that acknowledges data of'
+    ' {whose} target'
+)
+def ask_for_owner(context, whose):
+    acknowledged = TARGET_START + (100 if whose == 'its' else 1 << 28)
+    message = FindOwner('s', find_flow(0), acknowledged)
+    context.replies = context.agent.receive_message(BALANCER, message, 8.0)
+
+
+@then('the agent {claims} the flow')
+def check_claim(context, claims):
+    assert bool(context.replies) == (claims == 'claims'), context.replies
