--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
@@ -250,8 +250,7 @@
             round(self.expected, 3),
             int(self.report_intervals.local * 1000),
             int(self.report_intervals.remote * 1000),
-            self._find_target_age(now),
-            self._find_cold_allowance(now),
+            cold_allowance=self._find_cold_allowance(now),
         )
 
     def find_cold_time(self, now: float) -> float:
@@ -350,13 +349,6 @@
         """Return the number of flows that the target has accepted."""
         return sum(map(is_accepted, self.flows.values()))
 
-    def _find_target_age(self, now: float) -> int:
-        """Return the age of a target whose flows are all known, else -1."""
-        if self.target is None or self.may_own_earlier_flows(now):
-            return -1
-        age_ms = (now - self.started_at) * 1000
-        return max(0, int(age_ms + self.started - self.target.started))
-
     def _find_cold_allowance(self, now: float) -> float:
         if not self.is_bounded(now):
             return -1.0
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -137,7 +137,7 @@
             ):
                 actions += widen_search(self, flow, entry, now)
             elif entry.state is FlowEntryState.SEARCHING:
-                actions += end_search(self, flow, entry, now)
+                actions += end_search(self, flow, entry)
         return actions
 
     def expire_idle(self, now: float) -> None:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -66,8 +66,6 @@
     :param interval_ms: time between two reports to a balancer of the agent's
         zone
     :param remote_interval_ms: the same for a balancer of another zone
-    :param target_age_ms: time since the target's start, when the agent knows
-        all flows that the target may have; otherwise -1
     :param cold_allowance: number of flows that the agent would admit now while
         the target is cold; -1 without a bound
     :param limit: requests that the target serves well concurrently; 0 when it
@@ -86,7 +84,6 @@
     expected: float = 0.0
     interval_ms: int = 200
     remote_interval_ms: int = 3000
-    target_age_ms: int = -1
     cold_allowance: float = -1.0
     limit: int = 0
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -16,7 +16,6 @@
 from .messages import FlowGone
 from .messages import ForwardedPacket
 from .messages import OwnerReply
-from .messages import TargetState
 from .messages import UnownedPacket
 from .routes import choose_service
 from .routes import list_services
@@ -63,19 +62,6 @@
 #: counts as broken; so it waits until its own agent is back.
 GUESSES_MAX = 2
 
-#: Age of a balancer from which it knows the agents that serve, in seconds:
-#: they learn of it within a second and then report at once.
-AGENTS_KNOWN_AFTER = 1.5
-
-#: Age of a balancer up to which a flow that no agent claims may be one of
-#: those that an outage of the whole system has ended, in seconds. Callers use
-#: their open flows again within it.
-OUTAGE_TIME = 10.0
-
-#: Time by which a target may have started before a balancer in the same
-#: outage, in seconds: what the imports take on a busy instance.
-OUTAGE_START_GAP = 2.0
-
 #: Largest number of packets that are buffered while the owner of their flow is
 #: searched for. A caller has no more than 16 in flight and retransmits dropped
 #: ones.
@@ -272,7 +258,7 @@
 
 
 def end_search(
-    balancer: BalancerState, flow: bytes, entry: FlowEntry, now: float
+    balancer: BalancerState, flow: bytes, entry: FlowEntry
 ) -> list[Action]:
     """End a search in which no agent has claimed the flow for certain."""
     owner = _take_possible_owner(balancer, entry, None)
@@ -288,15 +274,11 @@
         'dropped': len(entry.buffered),
     }
     segment = entry.buffered[-1]
-    entry.state = FlowEntryState.LOST
-    entry.buffered.clear()
-    waits = segment.length > 0 and not segment.ends
-    if segment.resets or not (
-        entry.gone or (waits and _is_after_outage(balancer, now))
-    ):
+    if not entry.gone or segment.resets:
+        entry.state = FlowEntryState.LOST
+        entry.buffered.clear()
         return [Log(FLOW_LOST, fields)]
-    if entry.gone:
-        balancer.flows.remove(flow)
+    balancer.flows.remove(flow)
     balancer.counts['flows_gone'] += 1
     return [
         Log(FLOW_GONE, fields),
@@ -304,27 +286,6 @@
     ]
 
 
-def _is_after_outage(balancer: BalancerState, now: float) -> bool:
-    """Tell whether the whole system has started together with this balancer.
-
-    Then no target has flows from before, and every agent knows all flows of
-    its target. A single older target shows that only some processes have
-    started. An agent without a target tells nothing: a target that has left
-    comes back in no outage.
-    """
-    age = now - balancer.started_at
-    if not AGENTS_KNOWN_AFTER <= age <= OUTAGE_TIME:
-        return False
-    starts = [
-        view.load.target_age_ms / 1000 + now - view.heard_at
-        if view.load.target_age_ms >= 0
-        else float('inf')
-        for view in balancer.views.list_all()
-        if view.load.state is not TargetState.UNKNOWN
-    ]
-    return bool(starts) and max(starts) <= age + OUTAGE_START_GAP
-
-
 def _take_possible_owner(
     balancer: BalancerState, entry: FlowEntry, former: Address | None
 ) -> Address | None:
