Bound the wrong targets of a flow over all balancers

After all agents of a service have restarted without their flows, each balancer that got a packet of such a flow tried it at two targets that might have it. A flow whose packets the fabric moves to another balancer, as a rolling restart does, could so reach more than two other targets and none of its own, which breaks it.

An agent forgot that its target had returned a packet, and answered the next balancer again that it may own the flow. It now remembers the flow for as long as flows live, forwards no further packet of it and answers FlowReturned, which the balancer counts like an attempt of its own.

The new scenario, one flow and three other balancers, failed before this change and passes with it.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -179,7 +179,7 @@
         actions += deliver_waiting(self, now)
         if any(map(is_opening, self.flows.values())):
             self.check_within(OPENING_CHECK_INTERVAL, now)
-        elif self.flows or self.declined or self.gone:
+        elif self.flows or self.declined or self.gone or self.returned:
             self.check_within(CHECK_INTERVAL, now)
         if self._down_until > now:
             self.check_within(self._down_until - now, now)
@@ -210,6 +210,9 @@
         for key, (gone_at, _) in list(self.gone.items()):
             if now - gone_at > self.flow_age_max:
                 del self.gone[key]
+        for key, (returned_at, _) in list(self.returned.items()):
+            if now - returned_at > self.flow_age_max:
+                del self.returned[key]
 
     def _expire_flow(
         self, key: bytes, flow: AgentFlow, now: float
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
@@ -62,6 +62,7 @@
     """
     flow.touched_at = now
     agent.gone.pop(segment.flow, None)
+    agent.returned.pop(segment.flow, None)
     accepted_again = flow.sequence not in (0, segment.sequence)
     if segment.accepts and (
         flow.state is AgentFlowState.DELIVERED or accepted_again
@@ -148,6 +149,26 @@
     return 0 < ahead < GONE_RANGE
 
 
+def note_returned(
+    agent: AgentState, segment: Segment, flow: AgentFlow, now: float
+) -> None:
+    """Note that the target does not have a flow that the agent has adopted."""
+    if flow.state is AgentFlowState.OPEN and not flow.sequence:
+        agent.returned[segment.flow] = now, segment.acknowledged
+
+
+def was_returned(agent: AgentState, key: bytes, acknowledged: int) -> bool:
+    """Tell whether the target has returned a packet of a flow before.
+
+    :param acknowledged: acknowledgement number of a packet of the caller, as
+        in :func:`is_gone`
+    """
+    if key not in agent.returned:
+        return False
+    ahead = (acknowledged - agent.returned[key][1]) % SEQUENCE_RANGE
+    return ahead < GONE_RANGE
+
+
 def is_opening(flow: AgentFlow) -> bool:
     """Tell whether a flow is in a state with a timeout below a second.
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
@@ -162,6 +162,8 @@
         told before a balancer offers it again
     :param gone: flows that the target has lost, with the time and the target's
         initial sequence number
+    :param returned: flows that the agent did not know and its target does not
+        have, with the time and the packet's acknowledgement number
     :param stopping: whether the agent is shutting down
     :param zone_known: whether the agent has learned from control if its
         availability zone is evacuated
@@ -194,6 +196,7 @@
     waiting: dict[bytes, WaitingFlow] = attrs.field(factory=dict)
     declined: dict[bytes, DeclinedFlow] = attrs.field(factory=dict)
     gone: dict[bytes, tuple[float, int]] = attrs.field(factory=dict)
+    returned: dict[bytes, tuple[float, int]] = attrs.field(factory=dict)
     stopping: bool = False
     zone_known: bool = True
     evacuated: bool = False
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -10,6 +10,7 @@
 from .balancer_state import BalancerState
 from .flow_table import FlowEntryState
 from .messages import FlowGone
+from .messages import FlowReturned
 from .messages import ForwardedPacket
 from .messages import KeptFlows
 from .messages import LateAccept
@@ -30,6 +31,7 @@
 from .owner_search import end_search
 from .owner_search import find_owner
 from .owner_search import handle_flow_gone
+from .owner_search import handle_flow_returned
 from .owner_search import handle_owner_reply
 from .owner_search import handle_unowned_packet
 from .owner_search import is_search_due
@@ -117,6 +119,8 @@
                 return handle_owner_reply(self, sender, message)
             case FlowGone():
                 return handle_flow_gone(self, message)
+            case FlowReturned():
+                return handle_flow_returned(self, sender, message)
             case _:
                 return self._receive_answer(sender, message, now)
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/flow_table.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/flow_table.py
@@ -55,8 +55,8 @@
     :param buffered: packets to forward when the owner is found
     :param possible_owners: agents whose target may have opened the flow before
         the agent started, and which have not been tried yet
-    :param guesses: agents that were tried because they might own the flow,
-        since its owner was last known
+    :param guessed: agents that have got a packet only because they might own
+        the flow, since its owner was last known
     :param asked_all: whether the agents of all zones have been asked
     :param gone: whether the agent that owned the flow has said that its target
         has lost it
@@ -82,7 +82,7 @@
     unanswered: set[Address] = attrs.field(factory=set)
     buffered: list[Segment] = attrs.field(factory=list)
     possible_owners: list[Address] = attrs.field(factory=list)
-    guesses: int = 0
+    guessed: set[Address] = attrs.field(factory=set)
     asked_all: bool = True
     gone: bool = False
     timer_id: int = 0
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -336,6 +336,19 @@
     evacuation: int = 0
 
 
+@attrs.frozen
+class FlowReturned:
+    """Answers :class:`FindOwner` when the target has returned the flow before.
+
+    The agent did not know the flow, and had forwarded a packet of it because
+    its target might have opened it before the agent started.
+
+    :param flow: key of the flow
+    """
+
+    flow: bytes
+
+
 #: Encoding of the messages about flows, each sent as one datagram.
 FLOW_CODEC = Codec(
     {
@@ -353,5 +366,6 @@
         12: LateAccept,
         13: FlowGone,
         14: KeptFlows,
+        15: FlowReturned,
     }
 )
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -18,14 +18,17 @@
 from .agent_flows import is_gone
 from .agent_flows import is_open_elsewhere
 from .agent_flows import note_gone
+from .agent_flows import note_returned
 from .agent_flows import OPENING_CHECK_INTERVAL
 from .agent_flows import set_counted
+from .agent_flows import was_returned
 from .agent_state import AgentFlow
 from .agent_state import AgentFlowState
 from .agent_state import is_accepted
 from .kept_flows import pack_flows
 from .messages import DeclineReason
 from .messages import FlowGone
+from .messages import FlowReturned
 from .messages import LoadReport
 from .messages import OwnerReply
 from .messages import UnownedPacket
@@ -59,6 +62,7 @@
         flow is None
         and not segment.opens
         and not is_gone(agent, segment.flow, segment.acknowledged)
+        and not was_returned(agent, segment.flow, segment.acknowledged)
         and agent.may_own_earlier_flows(now)
     ):
         flow = adopt_flow(agent, segment.flow, sender, now)
@@ -85,9 +89,11 @@
         return [Send(sender, OwnerReply(message.flow, True))]
     if is_gone(agent, message.flow, message.acknowledged):
         return [Send(sender, FlowGone(message.flow))]
-    if flow is None and agent.may_own_earlier_flows(now):
-        return [Send(sender, OwnerReply(message.flow, False))]
-    return []
+    if flow is not None or not agent.may_own_earlier_flows(now):
+        return []
+    if was_returned(agent, message.flow, message.acknowledged):
+        return [Send(sender, FlowReturned(message.flow))]
+    return [Send(sender, OwnerReply(message.flow, False))]
 
 
 def leave_flows(
@@ -135,6 +141,7 @@
         return []
     balancer = flow.balancer
     note_gone(agent, segment.flow, flow, now)
+    note_returned(agent, segment, flow, now)
     drop_flow(agent, segment.flow, flow)
     if balancer is None:
         return []
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -27,6 +27,7 @@
     from ..addresses import Address
     from .actions import Action
     from .balancer_state import BalancerState
+    from .messages import FlowReturned
     from .placement import AgentView
     from .routes import Route
     from .segments import Segment
@@ -112,7 +113,7 @@
         now,
         tried=set(tried),
         buffered=[segment],
-        guesses=0 if known is None else known.guesses,
+        guessed=set() if known is None else known.guessed,
         gone=gone,
         asked_all=asks_all,
     )
@@ -208,7 +209,7 @@
         return []
     balancer.lost_in_succession = 0
     entry.possible_owners.clear()
-    entry.guesses = 0
+    entry.guessed.clear()
     buffered, entry.buffered = entry.buffered, []
     return _assign_owner(balancer, entry, sender, buffered)
 
@@ -242,6 +243,21 @@
     return []
 
 
+def handle_flow_returned(
+    balancer: BalancerState, sender: Address, message: FlowReturned
+) -> list[Action]:
+    """Note that a flow was tried at an agent whose target does not have it.
+
+    Another balancer may have tried it there: the bound of such guesses holds
+    for a flow, whichever balancers its packets reach.
+    """
+    entry = balancer.flows.get(message.flow)
+    if entry is not None and entry.state is FlowEntryState.SEARCHING:
+        entry.guessed.add(sender)
+        entry.tried.add(sender)
+    return []
+
+
 def _assign_owner(
     balancer: BalancerState,
     entry: FlowEntry,
@@ -307,9 +323,9 @@
         agent = entry.possible_owners.pop(0)
         if agent in entry.tried:
             continue
-        if limited and entry.guesses >= GUESSES_MAX:
+        if limited and len(entry.guessed) >= GUESSES_MAX:
             return None
-        entry.guesses += 1
+        entry.guessed.add(agent)
         return agent
     return None
 
--- a/tests/core/passthrough/lost_flows.feature
+++ b/tests/core/passthrough/lost_flows.feature
@@ -139,6 +139,17 @@
       | stops as planned         | 0    |
       | is killed                | 2    |
 
+  # Guards against broken flows whose packets reach several balancers: each of
+  # them tried other targets that might have the flow.
+  Scenario: The bound of wrong targets holds over all balancers of a flow
+    Given 4 balancers in zone "x" with 12 agents
+    And all agents have been killed and started again
+    And a caller has opened a flow of 45000 ms through "b0"
+    When the flow's agent is killed, and the caller repeats a packet for 1 s through each of "b1,b2,b3"
+    Then at most 2 packets have reached other targets
+    When the flow's agent is back and the caller repeats the packet
+    Then the flow's target has got the packet
+
   # Guards against resets of flows whose targets go on.
   Scenario Outline: After a start of <what>, a caller whose flow no agent knows is <told>
     Given 2 balancers in zone "x" with 6 agents
--- a/tests/core/passthrough/steps/lost_flow_steps.py
+++ b/tests/core/passthrough/steps/lost_flow_steps.py
@@ -643,6 +643,23 @@
         mesh.run(pause)
 
 
+@when(
+    "the flow's agent is killed, and the caller repeats a packet for 1 s"
+    ' through each of "{names}"'
+)
+def spray_packets(context, names):
+    mesh = context.mesh
+    prepare_loss(context)
+    mesh.targets[context.owner].runs.clear()
+    del mesh.agents[context.owner]
+    mesh.run(0.1)
+    for name in names.split(','):
+        context.flow.balancer = name
+        for pause in (0.2, 0.8):
+            mesh.send_subsequent(context.flow, 0, 10)
+            mesh.run(pause)
+
+
 @then('at most {most:d} packets have reached other targets')
 def check_strays(context, most):
     targets = context.mesh.targets.values()
