Pace what a balancer sends to the rate of its link

Callers' requests and uploads through instances with a link of 2 Mbit/s took 0.3 to 3.4 s where others took 14 to 40 ms, and at a load peak flows were refused though targets were free.

The balancer now queues packets of open flows, in turn by flow, and hands the link what it can send; its own messages go first.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/actions.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/actions.py
@@ -18,10 +18,13 @@
 
     :param address: address of the receiver
     :param message: a message that :data:`.messages.FLOW_CODEC` encodes
+    :param flow: key of the flow whose packet it forwards and which shares the
+        link with others; empty when the message must not wait for them
     """
 
     address: Address
     message: object
+    flow: bytes = b''
 
 
 @attrs.frozen
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -220,4 +220,5 @@
             return []
         if entry.agent is None:
             return []
-        return [Send(entry.agent, ForwardedPacket(entry.service, segment.raw))]
+        packet = ForwardedPacket(entry.service, segment.raw)
+        return [Send(entry.agent, packet, segment.flow)]
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -181,7 +181,11 @@
     if entry is not None and entry.agent is not None:
         return [
             log,
-            Send(entry.agent, ForwardedPacket(entry.service, segment.raw)),
+            Send(
+                entry.agent,
+                ForwardedPacket(entry.service, segment.raw),
+                segment.flow,
+            ),
         ]
     if entry is None or entry.state is FlowEntryState.LOST:
         tried = {sender}
@@ -268,7 +272,7 @@
     entry.agent = agent
     entry.service = balancer.views.find_service(agent, entry.service)
     return [
-        Send(agent, ForwardedPacket(entry.service, segment.raw))
+        Send(agent, ForwardedPacket(entry.service, segment.raw), segment.flow)
         for segment in packets
     ]
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
@@ -21,6 +21,7 @@
 from pistachiohook_core.passthrough.commands import unpack_routes
 from pistachiohook_core.passthrough.discovery import BALANCER
 from pistachiohook_core.passthrough.discovery import Finder
+from pistachiohook_core.passthrough.egress import EgressQueue
 from pistachiohook_core.passthrough.explanation import explain_placement
 from pistachiohook_core.passthrough.explanation import NO_ROUTES
 from pistachiohook_core.passthrough.messages import Node
@@ -36,10 +37,10 @@
 from ..endpoints import Health
 from ..logs import describe_error
 from ..serving import make_json_response
+from .paced_link import PacedLink
 from .polling import poll_control
 from .timers import DeadlineTimer
 from .transport import build_receiver
-from .transport import build_sender
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -53,7 +54,6 @@
     from ..serving import HttpResponse
     from ..supervisor import Supervisor
     from .settings import BalancerSettings
-    from .transport import SendMessage
 
 #: Timeout of one attempt to fetch routes, in seconds: enough for a large set
 #: over a slow link, and short enough to try another control instance within
@@ -102,7 +102,7 @@
     :param finder: known control instances and their answers
     :param entry: socket for callers' packets
     :param link: socket for messages about flows
-    :param send: sends a message about flows
+    :param paced: sends messages about flows over that socket
     :param report: logs an event
     :param confirmed: whether a quorum has confirmed, since the start of the
         process, that the applied routes were the newest
@@ -114,7 +114,7 @@
     finder: Finder
     entry: DatagramSocket
     link: DatagramSocket
-    send: SendMessage
+    paced: PacedLink
     report: Report
     confirmed: bool = False
     stopping: bool = False
@@ -266,8 +266,10 @@
     def _execute(self, actions: Iterable[Action]) -> None:
         for action in actions:
             match action:
+                case Send(address, message, flow) if flow:
+                    self.paced.forward(address, message, flow)
                 case Send(address, message):
-                    self.send(address, message)
+                    self.paced.send(address, message)
                 case ResetCaller(flow, sequence):
                     self._send_reset(flow, sequence)
                 case Log(event, fields):
@@ -314,8 +316,10 @@
         counts=metrics.counts,
     )
     finder = Finder(node.zone, node.controls)
-    send = build_sender(link)
-    role = BalancerRole(settings, balancer, finder, entry, link, send, report)
+    queue = EgressQueue(settings.link_rate / 8, metrics.counts)
+    metrics.gauges['egress_queued_bytes'] = lambda: queue.length
+    paced = PacedLink(link, queue)
+    role = BalancerRole(settings, balancer, finder, entry, link, paced, report)
     started = int(time.time() * 1000)
     own_node = Node(str(node.link), node.zone, started)
     receive = build_receiver(role.handle_message, report)
@@ -331,7 +335,7 @@
             own_node,
             finder,
             lambda: role.confirmed,
-            send,
+            paced.send,
             report,
         ),
     )
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/settings.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/settings.py
@@ -38,10 +38,13 @@
 
     :param node: settings that all roles have
     :param entry: address to which the fabric sends callers' packets (UDP)
+    :param link_rate: rate of the instance's link, in bits per second; 0 when
+        it is unknown
     """
 
     node: NodeSettings
     entry: Address
+    link_rate: float = 0.0
 
 
 @attrs.frozen
