Search for the owners of flows in batches

After a restart a balancer gets packets of many flows that it doesn't know, and sent a message to each agent for each of them. On small instances this took all of the processor: 10 s after a power loss, about 1,000 searches a second were begun in 31 balancers, each with up to 52 messages. Answers were read late and taken for missing, so that packets of flows whose owner had answered were dropped, and new flows waited.

The first three searches of each 20 ms are sent at once, the others together, with one message to each agent; while most searches fail, the interval is 100 ms. A search whose timer fires late is extended once, as offers are.

60 flows at 12 agents after a restart: 780 messages before, at most 200 now. A balancer paused for 90 ms during a search dropped the packet before.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -32,6 +32,7 @@
 from .agent_state import TARGET_TIMEOUT
 from .cold_starts import empty_bucket
 from .messages import FindOwner
+from .messages import FindOwners
 from .messages import ForwardedPacket
 from .messages import KeptFlows
 from .messages import Offer
@@ -127,6 +128,14 @@
                 actions = handle_forwarded_packet(self, sender, message, now)
             case FindOwner():
                 actions = handle_find_owner(self, sender, message, now)
+            case FindOwners(service, flows):
+                actions = [
+                    action
+                    for flow in flows
+                    for action in handle_find_owner(
+                        self, sender, FindOwner(service, *flow), now
+                    )
+                ]
             case WithdrawOffer():
                 actions = handle_withdraw_offer(self, sender, message, now)
             case KeptFlows():
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer.py
@@ -35,6 +35,7 @@
 from .owner_search import handle_owner_reply
 from .owner_search import handle_unowned_packet
 from .owner_search import is_search_due
+from .owner_search import send_searches
 from .owner_search import widen_search
 
 if TYPE_CHECKING:
@@ -126,11 +127,18 @@
 
     def find_next_deadline(self) -> float | None:
         """Return when :meth:`expire` is due; ``None`` without a timer."""
-        return self.flows.find_next_deadline()
+        due = self.flows.find_next_deadline()
+        batch_due = self.searches.find_next_deadline()
+        if due is None or batch_due is None:
+            return batch_due if due is None else due
+        return min(due, batch_due)
 
     def expire(self, now: float) -> list[Action]:
         """Handle offers and owner searches that have timed out."""
         actions: list[Action] = []
+        batch_due = self.searches.find_next_deadline()
+        if batch_due is not None and batch_due <= now:
+            actions += send_searches(self, now)
         for flow, entry, lateness in self.flows.pop_due(now):
             if extend_deadline(entry, lateness):
                 self.flows.start_timer(flow, entry, now + OFFER_TIMEOUT)
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer_state.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/balancer_state.py
@@ -12,6 +12,7 @@
 from .flow_table import FlowTable
 from .kept_flows import KeptFlowTable
 from .placement import choose_agent
+from .search_batch import SearchBatch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,6 +36,7 @@
     :param flows: flow table
     :param lost_in_succession: number of searches for the owner of a flow that
         have failed since the last one that succeeded
+    :param searches: searches for owners that wait for the next batch
     :param kept_flows: flows of agents that restart
     :param counts: counters of packets and decisions by name
     """
@@ -48,5 +50,6 @@
     views: AgentViews = attrs.field(factory=AgentViews)
     flows: FlowTable = attrs.field(factory=FlowTable)
     lost_in_succession: int = 0
+    searches: SearchBatch = attrs.field(factory=SearchBatch)
     kept_flows: KeptFlowTable = attrs.field(factory=KeptFlowTable)
     counts: Counter[str] = attrs.field(factory=Counter)
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/flow_table.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/flow_table.py
@@ -61,8 +61,8 @@
     :param gone: whether the agent that owned the flow has said that its target
         has lost it
     :param timer_id: number of the running timer; earlier ones are superseded
-    :param deadline_extended: whether the timeout of the newest offer was
-        extended
+    :param deadline_extended: whether the timeout of the newest offer or search
+        was extended
     :param awaiting_withdrawals: whether no agent is left to offer the flow to
         and only late answers of the unanswered ones are awaited
     :param late_acceptor: agent whose target accepted the flow after the agent
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/messages.py
@@ -142,6 +142,19 @@
     acknowledged: int
 
 
+@attrs.frozen
+class FindOwners:
+    """Asks which of several flows an agent owns, like :class:`FindOwner`.
+
+    :param service: service of the agent
+    :param flows: key of each flow, and the acknowledgement number of its
+        packet
+    """
+
+    service: str
+    flows: tuple[tuple[bytes, int], ...]
+
+
 @attrs.frozen
 class LoadReport:
     """Reports an agent's load without a preceding request."""
@@ -367,5 +380,6 @@
         13: FlowGone,
         14: KeptFlows,
         15: FlowReturned,
+        16: FindOwners,
     }
 )
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/offers.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/offers.py
@@ -389,16 +389,17 @@
 
 
 def extend_deadline(entry: FlowEntry, lateness: float) -> bool:
-    """Extend the timeout of an offer once when its timer fired late.
+    """Extend the timeout of an offer or a search once when it fired late.
 
     A balancer whose CPU quota is exhausted is paused, and the answer may
     have arrived without having been read. If it took its own pauses for
-    missing answers, it would offer each flow several times and exhaust
-    its quota even sooner.
+    missing answers, it would offer or search for each flow several times
+    and exhaust its quota even sooner.
 
     :returns: whether the timeout is extended
     """
-    waits = entry.state is FlowEntryState.OFFERED and entry.agent is not None
+    offered = entry.state is FlowEntryState.OFFERED and entry.agent is not None
+    waits = offered or entry.state is FlowEntryState.SEARCHING
     if not waits or entry.deadline_extended or lateness < LATENESS_MAX:
         return False
     entry.deadline_extended = True
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -12,13 +12,16 @@
 from .actions import Send
 from .flow_table import FlowEntry
 from .flow_table import FlowEntryState
-from .messages import FindOwner
 from .messages import FlowGone
 from .messages import ForwardedPacket
 from .messages import OwnerReply
 from .messages import UnownedPacket
 from .routes import choose_service
 from .routes import list_services
+from .search_batch import build_questions
+from .search_batch import FAILING_SEARCH_INTERVAL
+from .search_batch import SEARCH_INTERVAL
+from .search_batch import SearchScope
 from .segments import describe_flow
 
 if TYPE_CHECKING:
@@ -28,7 +31,6 @@
     from .actions import Action
     from .balancer_state import BalancerState
     from .messages import FlowReturned
-    from .placement import AgentView
     from .routes import Route
     from .segments import Segment
 
@@ -105,7 +107,7 @@
     """
     known = balancer.flows.get(segment.flow)
     views = tuple(balancer.views.list_all())
-    local = tuple(_list_views(balancer, local=True))
+    local = any(view.load.zone == balancer.zone for view in views)
     asks_all = len(views) <= ASKED_AT_ONCE_MAX or not local
     entry = FlowEntry(
         choose_service(route, segment.flow),
@@ -118,32 +120,9 @@
         asked_all=asks_all,
     )
     balancer.flows.store(segment.flow, entry)
-    timeout = FIND_TIMEOUT if asks_all else LOCAL_FIND_TIMEOUT
-    balancer.flows.start_timer(segment.flow, entry, now + timeout)
     balancer.counts['owner_searches'] += 1
-    return _ask(entry, segment, views if asks_all else local)
-
-
-def _list_views(balancer: BalancerState, local: bool) -> Iterable[AgentView]:
-    """Return the agents of the balancer's zone, or of the other ones."""
-    return (
-        view
-        for view in balancer.views.list_all()
-        if (view.load.zone == balancer.zone) == local
-    )
-
-
-def _ask(
-    entry: FlowEntry, segment: Segment, views: Iterable[AgentView]
-) -> list[Action]:
-    return [
-        Send(
-            view.address,
-            FindOwner(view.load.service, segment.flow, segment.acknowledged),
-        )
-        for view in views
-        if view.address not in entry.tried
-    ]
+    scope = SearchScope.ALL if asks_all else SearchScope.LOCAL
+    return _search(balancer, segment.flow, scope, now)
 
 
 def widen_search(
@@ -151,9 +130,33 @@
 ) -> list[Action]:
     """Ask the agents of other zones when none of the zone claims a flow."""
     entry.asked_all = True
-    balancer.flows.start_timer(flow, entry, now + FIND_TIMEOUT)
-    views = _list_views(balancer, local=False)
-    return _ask(entry, entry.buffered[0], views)
+    return _search(balancer, flow, SearchScope.REMOTE, now)
+
+
+def _search(
+    balancer: BalancerState, flow: bytes, scope: SearchScope, now: float
+) -> list[Action]:
+    """Send a step of a search, or let it wait for the next batch."""
+    searches = balancer.searches
+    failing = balancer.lost_in_succession >= LOST_IN_SUCCESSION_MAX
+    searches.interval = FAILING_SEARCH_INTERVAL if failing else SEARCH_INTERVAL
+    at_once = searches.add(flow, scope, now)
+    return send_searches(balancer, now) if at_once else []
+
+
+def send_searches(balancer: BalancerState, now: float) -> list[Action]:
+    """Send the searches that wait, and start the timers for their answers."""
+    searches = []
+    for flow, scope in balancer.searches.take(now).items():
+        entry = balancer.flows.get(flow)
+        if entry is None or entry.state is not FlowEntryState.SEARCHING:
+            continue
+        local = scope is SearchScope.LOCAL
+        timeout = LOCAL_FIND_TIMEOUT if local else FIND_TIMEOUT
+        entry.deadline_extended = False
+        balancer.flows.start_timer(flow, entry, now + timeout)
+        searches.append((flow, entry, scope))
+    return build_questions(searches, balancer.views.list_all(), balancer.zone)
 
 
 def handle_unowned_packet(
--- a/tests/core/passthrough/lost_flows.feature
+++ b/tests/core/passthrough/lost_flows.feature
@@ -23,6 +23,13 @@
     When "b0" has restarted, and the owner claims the next packet 100 ms late
     Then "b0" knows the owner, and has searched for it once
 
+  # Guards against dropped packets of flows whose owner had answered in time.
+  Scenario: A balancer that is paused during a search uses the answers that it finds
+    Given 1 balancers in zone "x" with 12 agents
+    And a caller has opened a flow of 45000 ms through "b0"
+    When "b0" has restarted, and is paused for 90 ms during the search for the next packet
+    Then the owner's agent has got the packet
+
   Scenario Outline: A caller is told when the target of its flow has <what>
     Given 1 balancers in zone "x" with 12 agents
     And a caller has opened a flow of 45000 ms through "b0"
@@ -173,6 +180,14 @@
     When the owner goes on in zone "y", and the caller sends another packet
     Then the owner has got the packet, and 24 agents were asked
 
+  # Guards against balancers that are busy with searches after a restart: a
+  # message to each agent for each flow made them take answers for missing.
+  Scenario: The owners of many flows are searched for together
+    Given 1 balancers in zone "x" with 12 agents
+    And 60 callers have opened flows of 45000 ms through "b0"
+    When "b0" restarts, and each caller sends a packet within 60 ms
+    Then each flow's target has got its packet, and "b0" has sent at most 200 messages
+
   # Guards against callers that wait until their deadline on a flow that their
   # target closed when it was idle.
   Scenario: A caller that has missed the end of an idle flow is answered by its target
--- a/tests/core/passthrough/steps/lost_flow_steps.py
+++ b/tests/core/passthrough/steps/lost_flow_steps.py
@@ -725,6 +725,56 @@
     send_and_count(context)
 
 
+@when('"{name}" restarts, and each caller sends a packet within {spread:d} ms')
+def restart_and_send_all(context, name, spread):
+    mesh = context.mesh
+    for call in context.calls:
+        call.outcome = 'waits'
+    mesh.restart_balancer(name)
+    await_reports(mesh)
+    mesh.messages_from.clear()
+    for call in context.calls:
+        mesh.send_subsequent(call, 0, 10)
+        mesh.run(spread / 1000 / len(context.calls))
+    mesh.run(0.15)
+
+
+@when(
+    '"{name}" has restarted, and is paused for {pause:d} ms during the search'
+    ' for the next packet'
+)
+def pause_during_search(context, name, pause):
+    mesh = context.mesh
+    prepare_loss(context)
+    mesh.restart_balancer(name)
+    await_reports(mesh)
+    mesh.send_subsequent(context.flow, 0, 10)
+    mesh.run(0.0011)
+    context.forwarded = mesh.messages_from[name]
+    mesh.paused_until[name] = mesh.now + pause / 1000
+    mesh.run(pause / 1000 + 0.01)
+
+
+@then("the owner's agent has got the packet")
+def check_forwarded(context):
+    assert context.mesh.messages_from['b0'] == context.forwarded + 1
+
+
+@then(
+    'each flow\'s target has got its packet, and "{name}" has sent at most'
+    ' {most:d} messages'
+)
+def check_together(context, name, most):
+    mesh = context.mesh
+    entries = mesh.balancers[name].flows
+    for call in context.calls:
+        owner = mesh.targets[entries.get(call.flow).agent.host]
+        assert call.flow in owner.flows
+    strays = sum(one.unknown_flow_packets for one in mesh.targets.values())
+    assert not strays
+    assert mesh.messages_from[name] <= most, mesh.messages_from[name]
+
+
 @when(
     'the owner goes on in zone "{zone}", and the caller sends another packet'
 )
