Move flows away from a target that hangs

A target that hangs kept the flows that wait for it at its agent until their callers gave up, although other targets were free, and its agent went on to report the service time of before: only answers changed it.

The agent now notes when the target last sent data. Once an unanswered request has seen none for 150 ms and four mean service times, the agent reports this time as the service time and no free slot, and declines the waiting flows whose balancers preferred another agent to a wait of that length. Flows for which no agent is better wait on, also when all targets hang at once, and no flow is refused because of the time that a target has hung.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+import attrs
+
 from ..events import FLOW_DECLINED
 from .actions import DeliverToTarget
 from .actions import Log
@@ -82,6 +85,7 @@
         now,
         now + (offer.prompt_ms - agent.service_ms) / 1000,
         now + offer.budget_ms / 1000,
+        offer.patience_ms if offer.patience_ms < offer.budget_ms else math.inf,
     )
     if offer.service == agent.service:
         agent.learn_cold_rate(offer.cold_rate, offer.cold_s, now)
@@ -144,6 +148,8 @@
     """
     bounded = bool(agent.waiting) and agent.is_bounded(now)
     actions = _shed_cold(agent, now) if bounded else []
+    if agent.waiting and agent.find_stall(now):
+        actions += _decline_stalled(agent, now)
     while agent.waiting and _has_capacity(agent):
         chosen = (
             order_urgent(agent.waiting.values(), now)[0]
@@ -251,7 +257,10 @@
         return DeclineReason.NOT_READY
     ahead = agent.delivered
     ahead += count_ahead(agent.waiting.values(), candidate, now)
-    wait = estimate_wait(agent.describe_load(now), ahead)
+    load = agent.describe_load(now)
+    if estimate_wait(load, ahead) > candidate.patience_ms:
+        return DeclineReason.BUSY
+    wait = estimate_wait(_ignore_stall(agent, load, now), ahead)
     if agent.is_bounded(now) and not _is_charged(agent, candidate.key):
         urgent = count_more_urgent(agent.waiting.values(), candidate, now)
         token_wait = _find_token_wait(agent, urgent, now)
@@ -298,7 +307,7 @@
 
 def _shed_excess(agent: AgentState, load: Load, now: float) -> list[Action]:
     """Decline one waiting flow when the queue can't be served in time."""
-    drain_ms = estimate_wait(load, load.flows)
+    drain_ms = estimate_wait(_ignore_stall(agent, load, now), load.flows)
     if drain_ms <= WAIT_MAX_MS * QUEUE_SHARE:
         return []
     last = choose_last(agent.waiting.values(), now)
@@ -310,6 +319,44 @@
     )
 
 
+def _ignore_stall(agent: AgentState, load: Load, now: float) -> Load:
+    """Return the load as if the target did not hang.
+
+    It may answer at any time. If flows were refused because of a time that it
+    has hung so far, none would be left to serve when all targets hang.
+    """
+    if not agent.find_stall(now):
+        return load
+    return attrs.evolve(load, service_ms=agent.service_ms, limit=0)
+
+
+def _decline_stalled(agent: AgentState, now: float) -> list[Action]:
+    """Decline the flows that wait for a target that hangs.
+
+    These are the ones that their balancers would rather have offered to
+    another agent. The others wait on, since the target may recover.
+    """
+    load = agent.describe_load(now)
+    actions: list[Action] = []
+    kept = agent.delivered
+    for waiting in sorted(agent.waiting.values(), key=_find_arrival):
+        waited_ms = (now - waiting.arrived_at) * 1000
+        wait = waited_ms + estimate_wait(load, kept)
+        if wait <= waiting.patience_ms:
+            kept += 1
+            continue
+        agent.counts['stalled_flows_declined'] += 1
+        flow = agent.flows[waiting.key]
+        actions += _drop_and_decline(
+            agent, waiting.key, flow, DeclineReason.BUSY, now
+        )
+    return actions
+
+
+def _find_arrival(flow: WaitingFlow) -> float:
+    return flow.arrived_at
+
+
 def _drop_and_decline(
     agent: AgentState,
     key: bytes,
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
@@ -80,11 +80,24 @@
     if flow.expected_on:
         agent.request_rates.remove_idle(flow.expected_on)
         flow.expected_on = b''
+    if flow.requesting and not counted:
+        flow.requesting = False
+        agent.requesting -= 1
     if flow.counted != counted:
         flow.counted = counted
         agent.in_progress += 1 if counted else -1
 
 
+def begin_request(agent: AgentState, flow: AgentFlow, now: float) -> None:
+    """Count a flow in progress as one whose request is unanswered."""
+    if flow.requesting:
+        return
+    if not agent.requesting:
+        agent.progress_at = now
+    flow.requesting = True
+    agent.requesting += 1
+
+
 def become_idle(agent: AgentState, key: bytes, flow: AgentFlow) -> None:
     """Count the later requests of an open flow instead of the flow."""
     set_counted(agent, flow, False)
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
@@ -57,6 +57,16 @@
 INITIAL_SERVICE_MS = 50.0
 
 
+#: Time without an answer from which a target with an unanswered request may
+#: hang, in seconds. A flow that is declined then is opened elsewhere before
+#: its caller retransmits after 200 ms, as an offer takes at most 50 ms.
+STALL_MIN = 0.15
+
+#: The same as a multiple of the mean service time. A target that has become
+#: four times slower still answers.
+STALL_MULTIPLE = 4.0
+
+
 class AgentFlowState(enum.Enum):
     """State of a flow at an agent."""
 
@@ -86,6 +96,8 @@
     :param opening: its opening packet while it waits
     :param counted: whether it counts as in progress: it is being opened, or
         its request is unanswered
+    :param requesting: whether it counts as in progress and its request has
+        arrived in full and is unanswered
     :param expected_on: entry address of the route whose open flows it is one
         of, while it is open and does not count as in progress; else empty
     :param activity: progress of its requests
@@ -101,6 +113,7 @@
     sequence: int = 0
     opening: bytes = b''
     counted: bool = True
+    requesting: bool = False
     expected_on: bytes = b''
     activity: FlowActivity = attrs.field(factory=FlowActivity)
     charged: bool = False
@@ -156,6 +169,9 @@
     :param target: newest announcement of the target
     :param flows: flows that are open at the target or wait for it
     :param in_progress: number of these flows that count as in progress
+    :param requesting: number of those whose request is unanswered
+    :param progress_at: when the target last sent data, or when the oldest
+        unanswered request arrived, if that was later
     :param waiting: flows whose opening packet is queued
     :param declined: flows that were declined after their opening packet was
         delivered; when the target accepts one late, the caller must not be
@@ -193,6 +209,8 @@
     target: TargetAnnouncement | None = None
     flows: dict[bytes, AgentFlow] = attrs.field(factory=dict)
     in_progress: int = 0
+    requesting: int = 0
+    progress_at: float = 0.0
     waiting: dict[bytes, WaitingFlow] = attrs.field(factory=dict)
     declined: dict[bytes, DeclinedFlow] = attrs.field(factory=dict)
     gone: dict[bytes, tuple[float, int]] = attrs.field(factory=dict)
@@ -240,6 +258,7 @@
         """Return a load report with the next sequence number."""
         self._sequence += 1
         self.request_rates.advance(now)
+        stall_ms = self.find_stall(now) * 1000
         return Load(
             self._sequence,
             self.started,
@@ -248,14 +267,31 @@
             self.find_state(now),
             self.slots,
             self.in_progress,
-            round(self.service_ms, 1),
+            round(max(self.service_ms, stall_ms), 1),
             int(self.find_cold_time(now) * 1000),
             round(self.expected, 3),
             int(self.report_intervals.local * 1000),
             int(self.report_intervals.remote * 1000),
             cold_allowance=self._find_cold_allowance(now),
+            limit=self._find_stalled_limit() if stall_ms else 0,
         )
 
+    def find_stall(self, now: float) -> float:
+        """Return for how long the target has answered no request.
+
+        It is the time since the target last sent data while a request is
+        unanswered. A long request beside others that are answered does not
+        count.
+
+        :returns: the time, in seconds; 0 while it is not much longer than the
+            mean service time
+        """
+        if not self.requesting:
+            return 0.0
+        silent = now - self.progress_at
+        usual = max(STALL_MIN, STALL_MULTIPLE * self.service_ms / 1000)
+        return silent if silent > usual else 0.0
+
     def find_cold_time(self, now: float) -> float:
         """Return how long the target stays cold, in seconds."""
         if self.target is None:
@@ -352,6 +388,10 @@
         """Return the number of flows that the target has accepted."""
         return sum(map(is_accepted, self.flows.values()))
 
+    def _find_stalled_limit(self) -> int:
+        """Return a limit at which a target that hangs has no free slot."""
+        return max(1, min(self.slots, self.delivered))
+
     def _find_cold_allowance(self, now: float) -> float:
         if not self.is_bounded(now):
             return -1.0
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -12,6 +12,7 @@
 from .admission import decline
 from .admission import decline_unaccepted
 from .agent_flows import become_idle
+from .agent_flows import begin_request
 from .agent_flows import CHECK_INTERVAL
 from .agent_flows import drop_flow
 from .agent_flows import HANDSHAKE_MULTIPLE
@@ -157,6 +158,8 @@
     agent: AgentState, segment: Segment, flow: AgentFlow, now: float
 ) -> list[Action]:
     """Free the slot of a request whose answer begins."""
+    if segment.length:
+        agent.progress_at = now
     elapsed = flow.activity.record_target_data(segment, now)
     if elapsed is None:
         return []
@@ -283,6 +286,8 @@
     if flow.counted == occupies and not begins:
         return
     set_counted(agent, flow, occupies)
+    if occupies:
+        begin_request(agent, flow, now)
     activity.shared_by = max(1.0, agent.delivered / max(1, agent.slots))
 
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/placement.py
@@ -145,7 +145,7 @@
         load = self.load
         self.wait_ms = estimate_wait(load, flows)
         self.cost_ms = self.wait_ms + estimate_recurring_wait(load)
-        self.utilization = (flows + load.expected) / max(1, load.slots)
+        self.utilization = (flows + load.expected) / find_capacity(load)
         self.exhausted = 0 <= load.cold_allowance < len(self.offered) + 1
 
 
@@ -175,13 +175,18 @@
     patience_ms: float
 
 
+def find_capacity(load: Load) -> int:
+    """Return how many requests a target serves well concurrently."""
+    return load.limit or load.slots or 1
+
+
 def estimate_wait(load: Load, flows: int) -> float:
     """Return how long one more flow waits for a slot, in milliseconds.
 
     :param load: load report of the agent
     :param flows: flows in progress there
     """
-    slots = max(1, load.slots)
+    slots = find_capacity(load)
     ahead = max(0, flows + 1 - slots)
     slowdown = COLD_SLOWDOWN if load.cold_ms > 0 else 1.0
     return ahead / slots * load.service_ms * slowdown
@@ -221,7 +226,7 @@
     :param load: load report of the agent
     :returns: the wait, in milliseconds
     """
-    share = min(RECURRING_LOAD_MAX, load.expected / max(1, load.slots))
+    share = min(RECURRING_LOAD_MAX, load.expected / find_capacity(load))
     return load.service_ms * share / (1 - share)
 
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/queueing.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/queueing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -21,6 +22,8 @@
         still meet the route's target latency
     :param expires_at: latest delivery at which its caller can still open it
         and receive its answer
+    :param patience_ms: longest wait up to which no other agent is better;
+        infinite when there is no other
     """
 
     key: bytes
@@ -28,6 +31,7 @@
     arrived_at: float
     prompt_until: float
     expires_at: float
+    patience_ms: float = math.inf
 
 
 def choose_next(
