Explore flows under random schedules of faults

The scenarios of tests/core/passthrough each play one sequence of faults that someone has thought of.

`make find-known-faults` removes one of six safeguards at a time from a scratch copy and lets the explorer find the fault.

Mesh: an agent's timers that were set during a pause fire together after it; the second one compared a deadline of None.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,9 @@
 .PHONY: docs
 .PHONY: experiment
 .PHONY: explore-consensus
+.PHONY: explore-flows
 .PHONY: explore-membership
+.PHONY: find-known-faults
 .PHONY: format
 .PHONY: measure-blocking
 .PHONY: measure-capacity
@@ -69,6 +71,12 @@
 explore-consensus: setup
 	$(BIN)/python tools/explore_consensus.py --seeds $(or $(SEEDS),20)
 
+explore-flows: setup
+	$(BIN)/python tools/explore_flows.py --seeds $(or $(SEEDS),0-499)
+
+find-known-faults: setup
+	$(BIN)/python tools/find_known_faults.py
+
 explore-membership: setup
 	MEMBERSHIP_EXAMPLES=$(or $(RUNS),1000) \
 	    $(BIN)/python tools/scenarios.py tests/core/membership
--- a/tests/core/passthrough/mesh.py
+++ b/tests/core/passthrough/mesh.py
@@ -268,10 +268,11 @@
         resumption = self.find_resumption(name)
         if resumption is not None:
             self.at(resumption, self.expire_agent, name, agent)
-        elif (
-            self.agents.get(name) is agent
-            and agent.find_next_deadline() <= self.now + 1e-9
-        ):
+            return
+        due = agent.find_next_deadline()
+        # Timers that were set during a pause fire together after it.
+        is_due = due is not None and due <= self.now + 1e-9
+        if self.agents.get(name) is agent and is_due:
             self.expiries[name] += 1
             self.carry_out(name, agent.expire(self.now))
 
