Don't claim packets of another flow of a caller's port

Cause: an agent claimed any packet for a flow that it knew as open. A caller that restarts leaves its flow without an end and uses the port again; after a restart of a balancer, the earlier flow's agent claimed the newer flow's packets for certain, and its target got and returned them. The other way round, a late packet of the earlier flow reached the newer one's target, which returned it, so that the agent noted the open flow as gone and the caller was reset later.

The agent keeps the open flow when a packet of another one arrives.

Found by a trial of the flow explorer in which balancers were paused too.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from .actions import DeliverToCaller
+from .activity import FlowActivity
 from .activity import REQUEST_TIMEOUT
 from .activity import SEQUENCE_RANGE
 from .agent_state import AgentFlowState
@@ -69,6 +70,7 @@
     ):
         flow.state = AgentFlowState.ACCEPTED
         flow.accepted_at = now
+        flow.activity = FlowActivity()
         flow.sequence = segment.sequence
         flow.activity.received_to = segment.acknowledged
     agent.counts['packets_to_callers'] += 1
@@ -180,6 +182,20 @@
     return flow.counted and flow.activity.busy_since is None
 
 
+def _is_far(flow: AgentFlow, acknowledged: int) -> bool:
+    """Tell whether a number is far from what the target has sent last.
+
+    Of a flow that an earlier process of the agent has opened, nothing is known
+    before the target sends data.
+    """
+    sent = flow.activity.answered_to
+    if sent is None and not flow.accepted_at:
+        return False
+    sent = flow.sequence if sent is None else sent
+    distance = (acknowledged - sent + GONE_RANGE) % SEQUENCE_RANGE
+    return distance >= 2 * GONE_RANGE
+
+
 def is_open_elsewhere(flow: AgentFlow, acknowledged: int) -> bool:
     """Tell whether a caller has opened a flow at another target.
 
@@ -192,5 +208,7 @@
     ahead = (acknowledged - flow.sequence) % SEQUENCE_RANGE
     if flow.state is AgentFlowState.ENDED and flow.sequence:
         return not 0 < ahead < GONE_RANGE
+    if flow.state is AgentFlowState.OPEN:
+        return _is_far(flow, acknowledged)
     # The first packet after the opening one acknowledges the number after it.
     return flow.state is AgentFlowState.ACCEPTED and ahead != 1
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -69,9 +69,13 @@
     elif (
         flow is not None
         and not segment.opens
+        # A caller's reset may come without an acknowledgement number.
+        and not (segment.resets and flow.state is AgentFlowState.OPEN)
         and is_open_elsewhere(flow, segment.acknowledged)
     ):
-        drop_flow(agent, segment.flow, flow)
+        # The packet may also be a late one of an earlier flow.
+        if flow.state is not AgentFlowState.OPEN:
+            drop_flow(agent, segment.flow, flow)
         flow = None
     if flow is None:
         return _return_unowned(agent, sender, segment, now)
