Offer a flow whose repeated opening packet is the first one seen

Cause: a balancer took a repeated opening packet for one of the flow that it knew at the caller's port, although that flow had ended and the first opening packet of the new one had gone to another balancer. It went to the former target without an offer, also when that target was leaving or full.

Change: the entry of a flow whose opening packet had another sequence number is replaced. Where the balancer has found the flow by a search and knows no opening packet, the agent of the ended flow declines, and the flow is offered.

Found by the flow explorer: "a2 leaves and gets a new flow".

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/offers.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/offers.py
@@ -77,15 +77,21 @@
     entry = balancer.flows.get(segment.flow)
     retransmitted = segment.acknowledged > 0
     known = entry is not None and entry.state is not FlowEntryState.LOST
+    if entry is not None and entry.opening is not None:
+        # Its first opening packet may have reached another balancer.
+        known = known and entry.opening.sequence == segment.sequence
+    began_at = (
+        arrived_at
+        - RETRANSMISSION_AGES[
+            min(segment.acknowledged, len(RETRANSMISSION_AGES) - 1)
+        ]
+    )
     if entry is None or not known or not retransmitted:
         service = choose_service(route, segment.flow)
-        began_at = (
-            arrived_at
-            - RETRANSMISSION_AGES[
-                min(segment.acknowledged, len(RETRANSMISSION_AGES) - 1)
-            ]
-        )
         entry = FlowEntry(service, FlowEntryState.OFFERED, now, began_at)
+    if entry.opening is None:
+        # The age of a flow that was found by a search was not known.
+        entry.began_at = began_at
     entry.opening = segment
     entry.opening_at = arrived_at
     entry.touched_at = now
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -214,6 +214,9 @@
     now: float,
 ) -> list[Action]:
     flow.balancer = sender
+    if segment.opens and flow.state is AgentFlowState.ENDED:
+        # Its caller uses its port again: the balancer is to offer the flow.
+        return decline(agent, sender, segment.flow, DeclineReason.BUSY, now)
     if agent.evacuated and segment.opens and not is_accepted(flow):
         return decline_unaccepted(agent, segment.flow, flow, now)
     if flow.state is AgentFlowState.WAITING:
--- a/tests/core/passthrough/reused_ports.feature
+++ b/tests/core/passthrough/reused_ports.feature
@@ -31,3 +31,17 @@
     And the target has sent data, and accepts another flow of the port
     And a balancer asks for the owner of a packet that acknowledges data of another target
     Then the agent claims the flow
+
+  # Guards against new flows at a target that leaves: a balancer took the
+  # repeated opening packet for one of the ended flow.
+  Scenario Outline: An opening packet that is first seen when repeated does not go to the leaving target of a flow that <how>
+    Given 2 balancers in zone "x" with 2 agents
+    And a caller has opened a flow of 20 ms through "b0"
+    When the flow has ended, and "<name>" has <how> it, and its target leaves
+    And the caller uses its port again, and its repeated opening packet reaches "<name>"
+    Then the other target has accepted the flow
+
+    Examples:
+      | how      | name |
+      | offered  | b0   |
+      | found    | b1   |
