Count each target that has returned a packet as tried

Cause: a flow whose agent is away may be tried at two other targets. A target did not count when its agent had known an earlier flow of the caller's port: the agent noted a returned packet only for flows that it had adopted, and the balancer counted only agents that were not certain. Nor did it count after its own restart, since the agent was no longer asked for flows that it may own. The flow's packets then reached a third target.

Change: an agent notes a returned packet whatever it knew of the flow, and answers so after a restart of its target; a balancer counts each agent that returns a packet.

Found by the flow explorer: "packets reached a2, a1, a1". Four scenarios, which failed before.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
@@ -154,8 +154,11 @@
 def note_returned(
     agent: AgentState, segment: Segment, flow: AgentFlow, now: float
 ) -> None:
-    """Note that the target does not have a flow that the agent has adopted."""
-    if flow.state is AgentFlowState.OPEN and not flow.sequence:
+    """Note that the target does not have the flow of a caller's packet.
+
+    The agent has adopted that flow, or knows an earlier one of the same ports.
+    """
+    if flow.state in (AgentFlowState.OPEN, AgentFlowState.ENDED):
         agent.returned[segment.flow] = now, segment.acknowledged
 
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -93,10 +93,12 @@
         return [Send(sender, OwnerReply(message.flow, True))]
     if is_gone(agent, message.flow, message.acknowledged):
         return [Send(sender, FlowGone(message.flow))]
-    if flow is not None or not agent.may_own_earlier_flows(now):
+    if flow is not None:
         return []
     if was_returned(agent, message.flow, message.acknowledged):
         return [Send(sender, FlowReturned(message.flow))]
+    if not agent.may_own_earlier_flows(now):
+        return []
     return [Send(sender, OwnerReply(message.flow, False))]
 
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/owner_search.py
@@ -177,6 +177,7 @@
         buffer_packet(entry, segment)
         return [log]
     if entry is not None and entry.agent == sender:
+        entry.guessed.add(sender)
         entry.agent = _take_possible_owner(balancer, entry, sender)
     if entry is not None and entry.agent is not None:
         return [
--- a/tests/core/passthrough/reused_ports.feature
+++ b/tests/core/passthrough/reused_ports.feature
@@ -45,3 +45,27 @@
       | how      | name |
       | offered  | b0   |
       | found    | b1   |
+
+  # Guards against broken flows: an agent that had claimed a flow wrongly was
+  # tried again, and did not count as one of the two that may be tried.
+  Scenario: An agent that knows an earlier flow counts as one that was tried
+    Given 2 balancers in zone "x" with 6 agents
+    And all agents have been killed and started again
+    And a caller has opened a flow of 45000 ms through "b0"
+    And another agent has adopted an earlier flow of its port
+    When the flow's agent is killed, and the caller repeats a packet for 4 s through "b1"
+    Then at most 2 packets have reached other targets
+
+  # Guards against the same: the agent forgot, or did not tell, that its target
+  # had returned a packet.
+  Scenario Outline: An agent tells that its target has returned a packet <when>
+    Given an agent that has started after its target
+    When the target returns a packet of the port <when>
+    And a balancer asks for the owner of a packet that acknowledges data of another target
+    Then the agent answers that the packet was returned
+
+    Examples:
+      | when                                  |
+      | of a flow that a balancer had kept    |
+      | of a flow that has ended              |
+      | and restarts                          |
