Withhold acceptances of withdrawn offers after a target's restart

Cause: an agent took an offer at the port of an open flow for a repeated opening packet of that flow, also when its target had restarted and lost it. The opening packet was delivered at once, and the acceptance reached the caller although the offer had been withdrawn and the flow was open at another target.

Change: such an offer is of a new flow if the target has sent nothing on the known one since its restart.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
@@ -71,7 +71,7 @@
         agent.counts['packets_malformed'] += 1
         return []
     known = agent.flows.get(segment.flow)
-    if known is not None and known.state is not AgentFlowState.ENDED:
+    if known is not None and not _may_be_replaced(known):
         known.balancer = sender
         if agent.evacuated and not is_accepted(known):
             return decline_unaccepted(agent, segment.flow, known, now)
@@ -242,6 +242,17 @@
     return [Log(FLOW_DECLINED, fields), Send(balancer, declined)]
 
 
+def _may_be_replaced(flow: AgentFlow) -> bool:
+    """Tell whether an offer is of another flow at the ports of a known one.
+
+    A target that has restarted has most likely lost the flows that were open.
+    As a retransmission, the opening packet would be delivered even if the
+    offer was withdrawn.
+    """
+    lost = flow.state is AgentFlowState.OPEN and flow.doubtful
+    return lost or flow.state is AgentFlowState.ENDED
+
+
 def _find_decline_reason(
     agent: AgentState, offer: Offer, candidate: WaitingFlow, now: float
 ) -> DeclineReason | None:
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -240,6 +240,7 @@
         accepted = (AgentFlowState.ACCEPTED, AgentFlowState.OPEN)
         for flow in self.flows.values():
             if flow.state in accepted:
+                flow.doubtful = True
                 set_counted(self, flow, False)
         for declined in self.declined.values():
             declined.accept = None
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
@@ -62,6 +62,7 @@
     sequence number.
     """
     flow.touched_at = now
+    flow.doubtful = False
     agent.gone.pop(segment.flow, None)
     agent.returned.pop(segment.flow, None)
     accepted_again = flow.sequence not in (0, segment.sequence)
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
@@ -91,6 +91,7 @@
     :param activity: progress of its requests
     :param charged: whether its next request is charged already to the
         allowance of its cold target
+    :param doubtful: whether the target has restarted since its last packet
     """
 
     state: AgentFlowState
@@ -104,6 +105,7 @@
     expected_on: bytes = b''
     activity: FlowActivity = attrs.field(factory=FlowActivity)
     charged: bool = False
+    doubtful: bool = False
 
 
 @attrs.define
--- a/tests/core/passthrough/reused_ports.feature
+++ b/tests/core/passthrough/reused_ports.feature
@@ -69,3 +69,11 @@
       | of a flow that a balancer had kept    |
       | of a flow that has ended              |
       | and restarts                          |
+
+  # Guards against acceptances of two targets: the agent took an offer for a
+  # repeated opening packet of a flow that its target had lost.
+  Scenario: The acceptance of a withdrawn offer is withheld when the target had a flow of the port before it restarted
+    Given an agent with one slot
+    When a flow is open at its target
+    And the target restarts, and a flow of the port is offered and withdrawn
+    Then the caller does not get the target's acceptance
