--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
@@ -103,6 +103,7 @@
     :param activity: progress of its requests
     :param charged: whether its next request is charged already to the
         allowance of its cold target
+    :param doubtful: whether the target has restarted since its last packet
     """
 
     state: AgentFlowState
@@ -117,6 +118,7 @@
     expected_on: bytes = b''
     activity: FlowActivity = attrs.field(factory=FlowActivity)
     charged: bool = False
+    doubtful: bool = False
 
 
 @attrs.define
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -70,9 +70,13 @@
     elif (
         flow is not None
         and not segment.opens
+        # A caller's reset may come without an acknowledgement number.
+        and not (segment.resets and flow.state is AgentFlowState.OPEN)
         and is_open_elsewhere(flow, segment.acknowledged)
     ):
-        drop_flow(agent, segment.flow, flow)
+        # The packet may also be a late one of an earlier flow.
+        if flow.state is not AgentFlowState.OPEN:
+            drop_flow(agent, segment.flow, flow)
         flow = None
     if flow is None:
         return _return_unowned(agent, sender, segment, now)
@@ -90,10 +94,12 @@
         return [Send(sender, OwnerReply(message.flow, True))]
     if is_gone(agent, message.flow, message.acknowledged):
         return [Send(sender, FlowGone(message.flow))]
-    if flow is not None or not agent.may_own_earlier_flows(now):
+    if flow is not None:
         return []
     if was_returned(agent, message.flow, message.acknowledged):
         return [Send(sender, FlowReturned(message.flow))]
+    if not agent.may_own_earlier_flows(now):
+        return []
     return [Send(sender, OwnerReply(message.flow, False))]
 
 
@@ -213,6 +219,9 @@
     now: float,
 ) -> list[Action]:
     flow.balancer = sender
+    if segment.opens and flow.state is AgentFlowState.ENDED:
+        # Its caller uses its port again: the balancer is to offer the flow.
+        return decline(agent, sender, segment.flow, DeclineReason.BUSY, now)
     if agent.evacuated and segment.opens and not is_accepted(flow):
         return decline_unaccepted(agent, segment.flow, flow, now)
     if flow.state is AgentFlowState.WAITING:
