Let targets hang in the soak, and start cold

A target that hangs holds what it receives for 0.5 to 1.5 s and does not announce itself; all checks of the soak hold meanwhile. A target that restarts announces that it is cold for 5 s, in half of the cases with a restart of its agent; a target whose zone was returned is cold for 3 s. In no second may either get more new flows than the bound, 8 at 2 per second.

--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -55,3 +55,7 @@
       | a packet at a target of another service                   |
       | an accepted version that is not returned                  |
       | a version returned with other text than sent              |
+      | an acknowledged evacuation that is not returned           |
+      | an evacuation that is returned after its end              |
+      | a new flow in an evacuated zone                           |
+      | nine new flows of a cold target in a second               |
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,6 +21,8 @@
 from traffic import Bounds
 from traffic import CALLER_HOST
 from traffic import Callers
+from traffic import COLD_BOUND
+from traffic import COLD_START
 from traffic import fetch
 from traffic import find_violations
 from traffic import HEARTBEAT_INTERVAL
@@ -76,12 +78,25 @@
 )
 #: The same with the orders of operators and with slow targets. Its machines
 #: are in two availability zones.
-ORDER_KINDS = (*ALL_KINDS, 'evacuate', 'evacuate', 'evacuate')
+ORDER_KINDS = (
+    *ALL_KINDS,
+    'evacuate',
+    'evacuate',
+    'evacuate',
+    'hang',
+    'hang',
+    'hang',
+    'restart_cold',
+    'restart_cold',
+    'restart_cold',
+)
 #: Lists of kinds by their name on the command line.
 KINDS_BY_NAME = {'basic': KINDS, 'all': ALL_KINDS, 'orders': ORDER_KINDS}
 #: Time after a fault from which an instance has run undisturbed, in seconds:
 #: an agent that has started learns the state of its zone within 3 s.
 SETTLE_TIME = 4.0
+#: Time for which a target that restarts announces that it is cold, in seconds.
+COLD_TIME = 5.0
 #: Time between an order and the opposite one, in seconds. An earlier attempt
 #: of an order, whose outcome is not known, has taken effect or failed by then.
 ORDER_INTERVAL = 6.0
@@ -245,17 +260,24 @@
         return asyncio.get_running_loop().time() - self.started_at
 
     async def send_heartbeat(self, name):
+        """Announce a target and return whether its agent has accepted it."""
         target = self.targets[name]
+        if target.held is not None:
+            return False
         self.heartbeats += 1
         state = 'draining' if name in self.draining else 'ready'
         service = self.machines[name].service
+        now = asyncio.get_running_loop().time()
+        cold_ms = int(max(0.0, target.cold_until - now) * 1000)
         body = (
             f'{{"Service": "{service}", "Slots": 4, "State": "{state}",'
-            f' "Seq": {self.heartbeats}, "born": {target.born}}}'
+            f' "Seq": {self.heartbeats}, "born": {target.born},'
+            f' "ColdLeftMs": {cold_ms}}}'
         )
         address = self.machines[name].format_address(2)
         url = f'http://{address}/Endpoints.Heartbeat/{name}'
-        await fetch(url, 1.0, method='POST', body=body)
+        status, _ = await fetch(url, 1.0, method='POST', body=body)
+        return status == 200
 
     async def send_heartbeats(self):
         while True:
@@ -408,6 +430,15 @@
                 self.check_evacuated(name, begin, end)
         await operator.set_evacuated(False, end + CONDITION_TIMEOUT)
         await asyncio.sleep(ORDER_INTERVAL)
+        # The targets are cold from the unknown time on at which their agents
+        # return, which is not before the order is sent. An agent that starts
+        # meanwhile doesn't know it.
+        cold_until = end + COLD_START
+        for name in self.agents:
+            if self.machines[name].zone == EVACUATED_ZONE and all(
+                self.is_undisturbed(name, at) for at in (end, cold_until)
+            ):
+                self.check_cold(name, end, cold_until)
 
     def check_evacuated(self, name, begin, end):
         """Check that a target got no new flow while its zone was evacuated."""
@@ -433,6 +464,38 @@
             if one.name in (name, 'controls')
         )
 
+    async def hang(self, name, magnitude):
+        """Let a target hang for about a second; it loses nothing."""
+        target = self.targets[name]
+        target.held = []
+        await asyncio.sleep(0.5 + magnitude)
+        target.resume()
+
+    async def restart_cold(self, name, magnitude):
+        """Restart a target, and its agent in half of the cases, while cold."""
+        target = self.targets[name]
+        loop = asyncio.get_running_loop()
+        target.forget_flows()
+        target.born += 1
+        target.cold_until = loop.time() + COLD_TIME
+        announced = await self.send_heartbeat(name)
+        begin = loop.time()
+        if magnitude < 0.5:
+            await asyncio.sleep(COLD_TIME * magnitude)
+            self.machines[name].kill()
+            self.machines[name].start()
+        await asyncio.sleep(target.cold_until - loop.time())
+        if announced:
+            self.check_cold(name, begin, target.cold_until)
+
+    def check_cold(self, name, begin, end):
+        """Check how many new flows a cold target got in any second."""
+        count = self.targets[name].count_opened(begin, end)
+        if count > COLD_BOUND:
+            self.operator.violations.append(
+                f'{name} got {count} new flows in a second while it was cold'
+            )
+
     async def inject_faults(self, name, duration, **faults):
         """Inject faults into the processes of a machine for a time."""
         machine = self.machines[name]
@@ -510,7 +573,9 @@
         if fault.kind == 'lose_all_power':
             return 'controls'
         at_controls = dict.fromkeys(DISK_KINDS, self.controls)
-        at_agents = dict.fromkeys(('drain', 'reuse'), self.agents)
+        at_agents = dict.fromkeys(
+            ('drain', 'hang', 'restart_cold', 'reuse'), self.agents
+        )
         names = {**at_controls, **at_agents}.get(
             fault.kind, list(self.machines)
         )
--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 import json
 from pathlib import Path
 from random import Random
@@ -16,6 +17,7 @@
 from machines import DATA_FOLDER
 from machines import FAULTS_FILE
 from machines import Machine
+from pistachiohook_core.addresses import Address
 from pistachiohook_daemon.control.disk import open_data_folder
 from process import Faults
 from process import open_faulty_disk
@@ -24,6 +26,7 @@
 from traffic import Call
 from traffic import find_violations
 from traffic import Operator
+from traffic import Target
 
 
 @attrs.define
@@ -50,6 +53,14 @@
     run_kinds(context, seed, length, soak.ALL_KINDS)
 
 
+@when(
+    'seed {seed:d} is run with faults, orders and slow targets for {length:d}'
+    ' seconds'
+)
+def run_order_kinds(context, seed, length):
+    run_kinds(context, seed, length, soak.ORDER_KINDS)
+
+
 def run_kinds(context, seed, length, kinds):
     # Long bounds, so that the load of the machine doesn't change the result;
     # runs by hand check the default ones.
@@ -117,6 +128,57 @@
     return asyncio.run(run())
 
 
+def read_evacuation(zones, evacuated):
+    """Return the violations when a read returns evacuated zones.
+
+    :param evacuated: whether the last acknowledged order was to evacuate
+    """
+    operator = FakeOperator(FakeSoak(), Random(0), evacuated=evacuated)
+    operator.response_body = json.dumps({'Zones': zones}).encode()
+    asyncio.run(operator.read_evacuation('c0'))
+    return operator.violations
+
+
+def open_flows(evacuated, opened_at, disturbances=()):
+    """Return the violations when a target gets new flows.
+
+    It is evacuated, if at all, from 1 s on, and else cold.
+    """
+    run = soak.Soak(0, 0.0, Path(), Bounds(), ())
+    run.operator = Operator(run, Random(0), evacuated=evacuated)
+    run.targets['s1'] = Target('s1', Address('', 0), Random(0))
+    run.targets['s1'].first_opened_at = dict(enumerate(opened_at))
+    run.disturbances += disturbances
+    if evacuated:
+        run.check_evacuated('s1', 1.0, 9.0)
+    else:
+        run.check_cold('s1', 0.0, 9.0)
+    return run.operator.violations
+
+
+RESTART = soak.Disturbance('s1', 2.0, 4.0)
+#: Functions that simulate what follows an order or a cold start.
+ORDER_VIOLATIONS = {
+    'an acknowledged evacuation that is not returned': partial(
+        read_evacuation, [], True
+    ),
+    'an evacuation that is returned after its end': partial(
+        read_evacuation, ['y'], False
+    ),
+    'a new flow in an evacuated zone': partial(
+        open_flows, True, [8.1], [RESTART]
+    ),
+    'a new flow from an agent that has restarted': partial(
+        open_flows, True, [7.9], [RESTART]
+    ),
+    'nine new flows of a cold target in a second': partial(
+        open_flows, False, [one / 9 for one in range(9)]
+    ),
+    'eight new flows of a cold target in a second': partial(
+        open_flows, False, [one / 8 for one in range(9)]
+    ),
+}
+
 #: Flows that a target has lost, by what became of a call with the number 7.
 FORGOTTEN = {
     'a call that was reset after its handshake': set(),
@@ -154,11 +216,21 @@
     return find_violations([call], [first, second], operator)
 
 
+def is_detected(what):
+    return bool(ORDER_VIOLATIONS.get(what, partial(detect, what))())
+
+
 @then('each of these is found as a violation')
 def check_detected(context):
-    assert not detect('nothing')
-    assert not detect('a call that was reset after its target lost its flows')
-    missed = [row['what'] for row in context.table if not detect(row['what'])]
+    for what in (
+        'nothing',
+        'a call that was reset after its target lost its flows',
+        'a new flow from an agent that has restarted',
+        'eight new flows of a cold target in a second',
+    ):
+        assert not is_detected(what), what
+    rows = [row['what'] for row in context.table]
+    missed = [what for what in rows if not is_detected(what)]
     assert not missed, missed
 
 
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from bisect import bisect_left
 from collections import Counter
 import json
 from random import Random
@@ -19,6 +20,12 @@
 CALLER_HOST = '127.0.9.1'
 #: Address of each service, to which callers send.
 SERVICE_ADDRESSES = {'s': ('198.18.0.1', 8443), 't': ('198.18.0.2', 9443)}
+#: Requests per second that a cold target bears, and the time for which it is
+#: cold after the end of an evacuation, in seconds.
+COLD_PER_S, COLD_START = 2, 3
+#: Largest number of requests that a cold target may get in any second, with
+#: the default ``ColdOver`` and ``ColdSlack``.
+COLD_BOUND = COLD_PER_S * 1.5 + 5
 #: Time that a caller waits for a reply to each transmission of its opening
 #: packet or its request, in seconds. It gives up after the last one.
 RETRANSMIT_TIMEOUTS = (0.2, 0.4, 0.8)
@@ -77,6 +84,8 @@
 
     ``opened_at`` holds the time at which each opening packet arrived,
     ``first_opened_at`` the time of the first one of each caller's port,
+    ``cold_until`` when it is no longer cold, in seconds of the loop's clock,
+    ``held`` the packets that arrive while the target hangs, or ``None``,
     ``served_as`` the name under which the target answered each caller, and
     ``misrouted`` its name and the caller's port for each packet that was for
     another service, and ``forgotten`` the caller's port and its own number for
@@ -88,6 +97,8 @@
         self.random = random
         self.opened_at = []
         self.first_opened_at = {}
+        self.cold_until = 0.0
+        self.held = None
         self.served_as = {}
         self.misrouted = set()
         self.forgotten = set()
@@ -99,6 +110,16 @@
         }
         self.flows.clear()
 
+    def count_opened(self, begin, end):
+        """Return the most new flows of any second of a time span."""
+        times = sorted(
+            at for at in self.first_opened_at.values() if begin <= at <= end
+        )
+        return max(
+            (bisect_left(times, at + 1.0) - i for i, at in enumerate(times)),
+            default=0,
+        )
+
     def answer(self, entry, caller, flags, acknowledged, data=b''):
         if flags & FIN:
             self.served_as[caller] = self.name
@@ -110,16 +131,29 @@
         )
         if service_port != SERVICE_ADDRESSES[self.name[0]][1]:
             self.misrouted.add((self.name, caller_port))
-        if not flags & SYN and length:
-            service_time = self.random.expovariate(50)
-            later = asyncio.get_running_loop().call_later
-            later(service_time, super().datagram_received, data, peer)
-            return
         if flags & SYN:
             now = asyncio.get_running_loop().time()
             self.opened_at.append(now)
             self.first_opened_at.setdefault(caller_port, now)
-        super().datagram_received(data, peer)
+        if not flags & SYN and length:
+            service_time = self.random.expovariate(50)
+            later = asyncio.get_running_loop().call_later
+            later(service_time, self.handle_packet, data, peer)
+            return
+        self.handle_packet(data, peer)
+
+    def handle_packet(self, data, peer):
+        """Handle a packet, or hold it while the target hangs."""
+        if self.held is None:
+            super().datagram_received(data, peer)
+        else:
+            self.held.append((data, peer))
+
+    def resume(self):
+        """Handle the packets that arrived while the target hung."""
+        held, self.held = self.held, None
+        for data, peer in held:
+            self.handle_packet(data, peer)
 
 
 class Callers(asyncio.DatagramProtocol):
@@ -268,7 +302,14 @@
         document = {
             'Version': self.version,
             'Routes': routes,
-            'Services': [{'Name': service} for service in SERVICE_ADDRESSES],
+            'Services': [
+                {
+                    'Name': service,
+                    'ColdPerS': COLD_PER_S,
+                    'ColdStartS': COLD_START,
+                }
+                for service in SERVICE_ADDRESSES
+            ],
         }
         self.documents[self.version] = json.dumps(document).encode()
         return self.version
