--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,12 +14,15 @@
 
 import attrs
 from loopback import find_range
+from machines import EVACUATED_ZONE
 from machines import Machine
 from machines import PORT_COUNT
 from pistachiohook_core.addresses import Address
 from traffic import Bounds
 from traffic import CALLER_HOST
 from traffic import Callers
+from traffic import COLD_BOUND
+from traffic import COLD_START
 from traffic import fetch
 from traffic import find_violations
 from traffic import HEARTBEAT_INTERVAL
@@ -73,6 +76,30 @@
     'late_links',
     'cut_links',
 )
+#: The same with the orders of operators and with slow targets. Its machines
+#: are in two availability zones.
+ORDER_KINDS = (
+    *ALL_KINDS,
+    'evacuate',
+    'evacuate',
+    'evacuate',
+    'hang',
+    'hang',
+    'hang',
+    'restart_cold',
+    'restart_cold',
+    'restart_cold',
+)
+#: Lists of kinds by their name on the command line.
+KINDS_BY_NAME = {'basic': KINDS, 'all': ALL_KINDS, 'orders': ORDER_KINDS}
+#: Time after a fault from which an instance has run undisturbed, in seconds:
+#: an agent that has started learns the state of its zone within 3 s.
+SETTLE_TIME = 4.0
+#: Time for which a target that restarts announces that it is cold, in seconds.
+COLD_TIME = 5.0
+#: Time between an order and the opposite one, in seconds. An earlier attempt
+#: of an order, whose outcome is not known, has taken effect or failed by then.
+ORDER_INTERVAL = 6.0
 #: Kinds of faults that affect the disk of a control instance.
 DISK_KINDS = ('wipe', 'lose_power', 'slow_disk', 'full_disk', 'failing_disk')
 #: Time for a control instance to recover after a disk fault, in seconds. No
@@ -85,7 +112,7 @@
     """A fault of the plan.
 
     :param at: when it is injected, in seconds from the start of the plan
-    :param kind: one of ``ALL_KINDS``
+    :param kind: one of ``ORDER_KINDS``
     :param position: position of the affected machine among those that the kind
         can affect, from 0 to 1
     :param magnitude: number from 0 to 1 from which its kind derives how long
@@ -98,7 +125,21 @@
     magnitude: float
 
 
-def draw_plan(seed, length, kinds=ALL_KINDS):
+@attrs.define
+class Disturbance:
+    """Time during which a fault affects a machine.
+
+    :param name: what is affected, as in ``Soak.affected``
+    :param begin: when it begins, in seconds of the loop's clock
+    :param end: when it ends; infinite until then
+    """
+
+    name: str
+    begin: float
+    end: float = float('inf')
+
+
+def draw_plan(seed, length, kinds=ORDER_KINDS):
     """Return the faults of a seed, which depend only on the arguments."""
     random = Random(seed)
     at, plan = 0.0, []
@@ -126,6 +167,7 @@
     :param draining: names of targets that announce that they are draining
     :param timeline: injected faults and other events, for the report
     :param affected: what a fault affects now
+    :param disturbances: what faults have affected, with the times
     :param heartbeats: number of heartbeats sent, which numbers them
     :param started_at: when the run started, in seconds of the loop's clock
     :param first_port: first port of the machines
@@ -143,6 +185,7 @@
     draining: set = attrs.field(factory=set)
     timeline: list = attrs.field(factory=list)
     affected: set = attrs.field(factory=set)
+    disturbances: list = attrs.field(factory=list)
     heartbeats: int = 0
     started_at: float = 0.0
     first_port: int = 0
@@ -166,6 +209,8 @@
 
     def add_machine(self, name, host_number, roles, service=''):
         seeds = [f'127.0.1.{one + 1}' for one in range(CONTROL_COUNT)]
+        # The first machine of each role and service stays in service.
+        in_zone = 'evacuate' in self.kinds and name[1] == '1'
         self.machines[name] = Machine(
             name,
             f'127.0.1.{host_number}',
@@ -173,6 +218,7 @@
             self.folder / name,
             roles,
             service,
+            EVACUATED_ZONE if in_zone else 'x',
             tuple(f'{host}:{self.first_port + 2}' for host in seeds),
         )
         self.machines[name].start()
@@ -214,17 +260,24 @@
         return asyncio.get_running_loop().time() - self.started_at
 
     async def send_heartbeat(self, name):
+        """Announce a target and return whether its agent has accepted it."""
         target = self.targets[name]
+        if target.held is not None:
+            return False
         self.heartbeats += 1
         state = 'draining' if name in self.draining else 'ready'
         service = self.machines[name].service
+        now = asyncio.get_running_loop().time()
+        cold_ms = int(max(0.0, target.cold_until - now) * 1000)
         body = (
             f'{{"Service": "{service}", "Slots": 4, "State": "{state}",'
-            f' "Seq": {self.heartbeats}, "born": {target.born}}}'
+            f' "Seq": {self.heartbeats}, "born": {target.born},'
+            f' "ColdLeftMs": {cold_ms}}}'
         )
         address = self.machines[name].format_address(2)
         url = f'http://{address}/Endpoints.Heartbeat/{name}'
-        await fetch(url, 1.0, method='POST', body=body)
+        status, _ = await fetch(url, 1.0, method='POST', body=body)
+        return status == 200
 
     async def send_heartbeats(self):
         while True:
@@ -278,6 +331,9 @@
             now = asyncio.get_running_loop().time()
             await self.operator.put_routes(now + CONDITION_TIMEOUT)
             await self.operator.read_version(self.random.choice(self.controls))
+            await self.operator.read_evacuation(
+                self.random.choice(self.controls)
+            )
             await asyncio.sleep(self.random.expovariate(2))
 
     # Faults; the names of these methods are kinds, see ``KINDS``.
@@ -361,6 +417,85 @@
         for name in self.controls:
             self.machines[name].start()
 
+    async def evacuate(self, _, magnitude):
+        """Evacuate a zone, check that it gets no new flow, and return it."""
+        loop = asyncio.get_running_loop()
+        operator = self.operator
+        await operator.set_evacuated(True, loop.time() + CONDITION_TIMEOUT)
+        begin = loop.time() + self.bounds.evacuation
+        await asyncio.sleep(ORDER_INTERVAL + 4.0 * magnitude)
+        end = loop.time()
+        for name in self.agents:
+            if self.machines[name].zone == EVACUATED_ZONE:
+                self.check_evacuated(name, begin, end)
+        await operator.set_evacuated(False, end + CONDITION_TIMEOUT)
+        await asyncio.sleep(ORDER_INTERVAL)
+        # The targets are cold from the unknown time on at which their agents
+        # return, which is not before the order is sent. An agent that starts
+        # meanwhile doesn't know it.
+        cold_until = end + COLD_START
+        for name in self.agents:
+            if self.machines[name].zone == EVACUATED_ZONE and all(
+                self.is_undisturbed(name, at) for at in (end, cold_until)
+            ):
+                self.check_cold(name, end, cold_until)
+
+    def check_evacuated(self, name, begin, end):
+        """Check that a target got no new flow while its zone was evacuated."""
+        late = [
+            round(at - begin, 2)
+            for at in self.targets[name].first_opened_at.values()
+            if begin < at < end and self.is_undisturbed(name, at)
+        ]
+        if self.operator.evacuated and late:
+            self.operator.violations.append(
+                f'{name} got {len(late)} new flows while its zone was'
+                f' evacuated, {late[:5]} s past the limit'
+            )
+
+    def is_undisturbed(self, name, at):
+        """Tell whether an instance has run undisturbed for some time.
+
+        A loss of all control instances disturbs each one.
+        """
+        return not any(
+            one.begin <= at <= one.end + SETTLE_TIME
+            for one in self.disturbances
+            if one.name in (name, 'controls')
+        )
+
+    async def hang(self, name, magnitude):
+        """Let a target hang for about a second; it loses nothing."""
+        target = self.targets[name]
+        target.held = []
+        await asyncio.sleep(0.5 + magnitude)
+        target.resume()
+
+    async def restart_cold(self, name, magnitude):
+        """Restart a target, and its agent in half of the cases, while cold."""
+        target = self.targets[name]
+        loop = asyncio.get_running_loop()
+        target.forget_flows()
+        target.born += 1
+        target.cold_until = loop.time() + COLD_TIME
+        announced = await self.send_heartbeat(name)
+        begin = loop.time()
+        if magnitude < 0.5:
+            await asyncio.sleep(COLD_TIME * magnitude)
+            self.machines[name].kill()
+            self.machines[name].start()
+        await asyncio.sleep(target.cold_until - loop.time())
+        if announced:
+            self.check_cold(name, begin, target.cold_until)
+
+    def check_cold(self, name, begin, end):
+        """Check how many new flows a cold target got in any second."""
+        count = self.targets[name].count_opened(begin, end)
+        if count > COLD_BOUND:
+            self.operator.violations.append(
+                f'{name} got {count} new flows in a second while it was cold'
+            )
+
     async def inject_faults(self, name, duration, **faults):
         """Inject faults into the processes of a machine for a time."""
         machine = self.machines[name]
@@ -428,15 +563,19 @@
     def find_affected(self, fault):
         """Return what a fault affects.
 
-        It is the name of a machine, ``fabric``, or ``controls`` for all
-        control instances.
+        It is the name of a machine, ``fabric``, ``zone``, or ``controls`` for
+        all control instances.
         """
+        if fault.kind == 'evacuate':
+            return 'zone'
         if fault.kind == 'lose_packets':
             return 'fabric'
         if fault.kind == 'lose_all_power':
             return 'controls'
         at_controls = dict.fromkeys(DISK_KINDS, self.controls)
-        at_agents = dict.fromkeys(('drain', 'reuse'), self.agents)
+        at_agents = dict.fromkeys(
+            ('drain', 'hang', 'restart_cold', 'reuse'), self.agents
+        )
         names = {**at_controls, **at_agents}.get(
             fault.kind, list(self.machines)
         )
@@ -466,16 +605,21 @@
             self.record(f'{planned.kind} {name}{skipped}')
             if not allowed:
                 continue
-            self.affected.add(name)
-            fault = getattr(self, planned.kind)(name, planned.magnitude)
-            task = asyncio.create_task(fault)
+            task = asyncio.create_task(self.inject_fault(name, planned))
             running.add(task)
-            task.add_done_callback(
-                lambda _, name=name: self.affected.discard(name)
-            )
         await asyncio.gather(*running)
         self.record('no more faults')
 
+    async def inject_fault(self, name, planned):
+        """Inject a fault and record when it affects a machine."""
+        loop = asyncio.get_running_loop()
+        self.affected.add(name)
+        disturbance = Disturbance(name, loop.time())
+        self.disturbances.append(disturbance)
+        await getattr(self, planned.kind)(name, planned.magnitude)
+        disturbance.end = loop.time()
+        self.affected.discard(name)
+
     async def run(self):
         """Run the plan and return the violated guarantees."""
         loop = asyncio.get_running_loop()
@@ -545,6 +689,11 @@
             for name, found in zip(self.controls, returned, strict=True)
             if found < required
         ]
+        missing += [
+            f'{name} does not confirm the last acknowledged order'
+            for name in self.controls
+            if not await self.operator.read_evacuation(name)
+        ]
         for number in range(FINAL_CALL_COUNT):
             call = await self.callers.call('st'[number % 2])
             if call.outcome != 'answered':
@@ -570,7 +719,7 @@
             raise result
 
 
-def run_seed(seed, length, bounds, kinds=ALL_KINDS):
+def run_seed(seed, length, bounds, kinds=ORDER_KINDS):
     """Run one seed.
 
     :param length: time during which faults are injected, in seconds
@@ -606,12 +755,13 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seeds', default='0-4', help='first and last seed')
     parser.add_argument('--length', type=float, default=15.0)
+    parser.add_argument('--kinds', default='orders', choices=KINDS_BY_NAME)
     options = parser.parse_args()
     first, _, last = options.seeds.partition('-')
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
         violations, timeline, outcomes = run_seed(
-            seed, options.length, Bounds()
+            seed, options.length, Bounds(), KINDS_BY_NAME[options.kinds]
         )
         print(
             f'seed {seed}: {len(violations)} violations, {outcomes}',
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from bisect import bisect_left
 from collections import Counter
 import json
 from random import Random
@@ -11,6 +12,7 @@
 from loopback import build_packet
 from loopback import HEADER
 from loopback import PacketTarget
+from machines import EVACUATED_ZONE
 from tornado.httpclient import AsyncHTTPClient
 from tornado.httpclient import HTTPError
 
@@ -18,6 +20,12 @@
 CALLER_HOST = '127.0.9.1'
 #: Address of each service, to which callers send.
 SERVICE_ADDRESSES = {'s': ('198.18.0.1', 8443), 't': ('198.18.0.2', 9443)}
+#: Requests per second that a cold target bears, and the time for which it is
+#: cold after the end of an evacuation, in seconds.
+COLD_PER_S, COLD_START = 2, 3
+#: Largest number of requests that a cold target may get in any second, with
+#: the default ``ColdOver`` and ``ColdSlack``.
+COLD_BOUND = COLD_PER_S * 1.5 + 5
 #: Time that a caller waits for a reply to each transmission of its opening
 #: packet or its request, in seconds. It gives up after the last one.
 RETRANSMIT_TIMEOUTS = (0.2, 0.4, 0.8)
@@ -39,6 +47,8 @@
         returns it or a later one
     :param drain: from a target's announcement that it is draining until it
         gets no new flow
+    :param evacuation: from the acknowledgement of an order to evacuate a zone
+        until its targets get no new flow
     :param recovery: from the end of the last fault until all control
         instances return the latest version and calls are answered
     """
@@ -46,6 +56,7 @@
     visibility: float = 3.0
     drain: float = 3.0
     recovery: float = 12.0
+    evacuation: float = 5.0
 
 
 @attrs.define(eq=False)
@@ -72,6 +83,9 @@
     """A target that answers a request after a random service time.
 
     ``opened_at`` holds the time at which each opening packet arrived,
+    ``first_opened_at`` the time of the first one of each caller's port,
+    ``cold_until`` when it is no longer cold, in seconds of the loop's clock,
+    ``held`` the packets that arrive while the target hangs, or ``None``,
     ``served_as`` the name under which the target answered each caller, and
     ``misrouted`` its name and the caller's port for each packet that was for
     another service, and ``forgotten`` the caller's port and its own number for
@@ -82,6 +96,9 @@
         super().__init__(name, outbound)
         self.random = random
         self.opened_at = []
+        self.first_opened_at = {}
+        self.cold_until = 0.0
+        self.held = None
         self.served_as = {}
         self.misrouted = set()
         self.forgotten = set()
@@ -93,6 +110,16 @@
         }
         self.flows.clear()
 
+    def count_opened(self, begin, end):
+        """Return the most new flows of any second of a time span."""
+        times = sorted(
+            at for at in self.first_opened_at.values() if begin <= at <= end
+        )
+        return max(
+            (bisect_left(times, at + 1.0) - i for i, at in enumerate(times)),
+            default=0,
+        )
+
     def answer(self, entry, caller, flags, acknowledged, data=b''):
         if flags & FIN:
             self.served_as[caller] = self.name
@@ -104,14 +131,29 @@
         )
         if service_port != SERVICE_ADDRESSES[self.name[0]][1]:
             self.misrouted.add((self.name, caller_port))
+        if flags & SYN:
+            now = asyncio.get_running_loop().time()
+            self.opened_at.append(now)
+            self.first_opened_at.setdefault(caller_port, now)
         if not flags & SYN and length:
             service_time = self.random.expovariate(50)
             later = asyncio.get_running_loop().call_later
-            later(service_time, super().datagram_received, data, peer)
+            later(service_time, self.handle_packet, data, peer)
             return
-        if flags & SYN:
-            self.opened_at.append(asyncio.get_running_loop().time())
-        super().datagram_received(data, peer)
+        self.handle_packet(data, peer)
+
+    def handle_packet(self, data, peer):
+        """Handle a packet, or hold it while the target hangs."""
+        if self.held is None:
+            super().datagram_received(data, peer)
+        else:
+            self.held.append((data, peer))
+
+    def resume(self):
+        """Handle the packets that arrived while the target hung."""
+        held, self.held = self.held, None
+        for data, peer in held:
+            self.handle_packet(data, peer)
 
 
 class Callers(asyncio.DatagramProtocol):
@@ -228,6 +270,8 @@
     :param documents: document of each version
     :param accepted_at: when each version was acknowledged, in seconds of the
         loop's clock
+    :param evacuated: whether the zone is evacuated by the last acknowledged
+        order; ``None`` while the outcome of an order isn't known
     :param violations: descriptions of the violated guarantees
     """
 
@@ -236,6 +280,7 @@
     version: int = 0
     documents: dict = attrs.field(factory=dict)
     accepted_at: dict = attrs.field(factory=dict)
+    evacuated: bool | None = False
     violations: list = attrs.field(factory=list)
 
     def create_version(self):
@@ -257,7 +302,14 @@
         document = {
             'Version': self.version,
             'Routes': routes,
-            'Services': [{'Name': service} for service in SERVICE_ADDRESSES],
+            'Services': [
+                {
+                    'Name': service,
+                    'ColdPerS': COLD_PER_S,
+                    'ColdStartS': COLD_START,
+                }
+                for service in SERVICE_ADDRESSES
+            ],
         }
         self.documents[self.version] = json.dumps(document).encode()
         return self.version
@@ -311,6 +363,45 @@
             )
         return found
 
+    async def set_evacuated(self, evacuated, until):
+        """Send an order to random control instances until one accepts it.
+
+        :param until: when attempts end, in seconds of the loop's clock
+        """
+        loop = asyncio.get_running_loop()
+        self.evacuated = None
+        verb = 'Start' if evacuated else 'End'
+        while loop.time() < until:
+            name = self.random.choice(list(self.soak.controls))
+            path = f'/Evacuate.{verb}/{EVACUATED_ZONE}'
+            status, _ = await self.fetch(name, path, method='POST', body='')
+            if status == 200:
+                self.evacuated = evacuated
+                return
+            if 400 <= status < 500:
+                self.violations.append(f'{path} was answered with {status}')
+                return
+            await asyncio.sleep(0.1)
+
+    async def read_evacuation(self, name):
+        """Read the evacuated zones from an instance and check them.
+
+        :returns: whether they are those of the last acknowledged order
+        """
+        expected = self.evacuated
+        status, body = await self.fetch(name, '/Evacuate.Get')
+        # A read during an order may return the state before or after it.
+        if status != 200 or expected is None or self.evacuated != expected:
+            return False
+        zones = json.loads(body)['Zones']
+        if zones == [EVACUATED_ZONE] * expected:
+            return True
+        self.violations.append(
+            f'{name} returned {zones}, but the last acknowledged order was '
+            + ('to evacuate' if expected else 'to return')
+        )
+        return False
+
     def find_latest_accepted(self, until):
         """Return the highest version that was acknowledged by a time.
 
