Learn the concurrency that each target handles well

Some targets slow down long before their slots are full, and their agents counted on all slots. The agent now compares the response times of requests that began under light load with those that began while the target was busy, within windows of 24 answers, so that a change of the target's speed affects both. A limit below the slots is set only when the slowdown is beyond 1.1 by three standard errors. It is raised after 30 s, one step at a time. Admission and placement use it in place of the slots, a new event (3111) reports it, and gauges show it with the estimate, the age of the newest sample and the reason.

After an answer that ends a hang, the time of the hang counts in the mean service time up to four times the mean alone: flows were refused after the recovery because of it.

The estimate of an idle target returns to its long-run mean.

--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -198,6 +198,12 @@
     Level.INFO,
     "The agent's availability zone was evacuated or returned to service.",
 )
+TARGET_LIMIT_CHANGED = Event(
+    3111,
+    Level.INFO,
+    'The number of requests that the target serves well concurrently was '
+    'learned anew; with 0, its slots count.',
+)
 CONTROL_NO_QUORUM = Event(
     4055,
     Level.WARNING,
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/activity.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/activity.py
@@ -53,8 +53,8 @@
     :param received_at: when the last data of the request arrived
     :param requests: number of requests that have begun
     :param busy: time for which requests were unanswered, in seconds
-    :param shared_by: requests for each slot of the target when the last
-        request began, at least 1
+    :param concurrency: requests in progress at the target when the last one
+        began, with itself
     """
 
     requested_to: int | None = None
@@ -64,7 +64,7 @@
     received_at: float = 0.0
     requests: int = 0
     busy: float = 0.0
-    shared_by: float = 1.0
+    concurrency: int = 1
     _later: dict[int, int] = attrs.field(factory=dict)
 
     @property
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
@@ -327,7 +327,9 @@
     """
     if not agent.find_stall(now):
         return load
-    return attrs.evolve(load, service_ms=agent.service_ms, limit=0)
+    return attrs.evolve(
+        load, service_ms=agent.service_ms, limit=agent.capacity.limit
+    )
 
 
 def _decline_stalled(agent: AgentState, now: float) -> list[Action]:
@@ -416,4 +418,6 @@
 
 
 def _has_capacity(agent: AgentState) -> bool:
-    return agent.delivered < agent.slots + SPARE_FLOWS
+    return (
+        agent.delivered < (agent.capacity.limit or agent.slots) + SPARE_FLOWS
+    )
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent.py
@@ -81,6 +81,8 @@
             self._apply_restart()
         elif known is not None and known.leaving:
             target.leaving = True
+        if restarted or (known is not None and known.slots != target.slots):
+            self.capacity.reset_limit(now)
         self.target = target
         if self.find_cold_time(now) > 0 and (restarted or not cold):
             self.allowance = empty_bucket(self.allowance, now)
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
@@ -10,6 +10,7 @@
 
 from .activity import FlowActivity
 from .activity import RequestRates
+from .capacity import Capacity
 from .cold_starts import Allowance
 from .cold_starts import charge_request
 from .cold_starts import ColdBounds
@@ -172,6 +173,7 @@
     :param requesting: number of those whose request is unanswered
     :param progress_at: when the target last sent data, or when the oldest
         unanswered request arrived, if that was later
+    :param stalled_until: when the target last answered after it had hung
     :param waiting: flows whose opening packet is queued
     :param declined: flows that were declined after their opening packet was
         delivered; when the target accepts one late, the caller must not be
@@ -188,7 +190,7 @@
         process that have come back
     :param recovered: whether the flows of the former process are all known
     :param counts: counters of packets and decisions by name
-    :param service_ms: mean time for which a request occupies a slot
+    :param capacity: what is learned about the target's response times
     :param report_intervals: times between two regular load reports
     :param request_rates: requests that open flows begin, by route
     :param handshake_time: mean time from a target's acceptance to the caller's
@@ -211,6 +213,7 @@
     in_progress: int = 0
     requesting: int = 0
     progress_at: float = 0.0
+    stalled_until: float = float('-inf')
     waiting: dict[bytes, WaitingFlow] = attrs.field(factory=dict)
     declined: dict[bytes, DeclinedFlow] = attrs.field(factory=dict)
     gone: dict[bytes, tuple[float, int]] = attrs.field(factory=dict)
@@ -221,7 +224,9 @@
     recovered_parts: set[int] = attrs.field(factory=set)
     recovered: bool = False
     counts: Counter[str] = attrs.field(factory=Counter)
-    service_ms: float = INITIAL_SERVICE_MS
+    capacity: Capacity = attrs.field(
+        factory=lambda: Capacity(INITIAL_SERVICE_MS)
+    )
     report_intervals: ReportIntervals = attrs.field(factory=ReportIntervals)
     request_rates: RequestRates = attrs.field(factory=RequestRates)
     cold_bounds: ColdBounds = attrs.field(factory=ColdBounds)
@@ -240,6 +245,11 @@
         """Number of requests that the target runs concurrently."""
         return self.target.slots if self.target else 0
 
+    @property
+    def service_ms(self) -> float:
+        """Mean time for which a request occupies a slot."""
+        return self.capacity.service_ms
+
     @property
     def delivered(self) -> int:
         """Number of flows in progress that do not wait here."""
@@ -258,7 +268,9 @@
         """Return a load report with the next sequence number."""
         self._sequence += 1
         self.request_rates.advance(now)
-        stall_ms = self.find_stall(now) * 1000
+        if not self.requesting:
+            self.capacity.settle(now)
+        hangs = self.find_stall(now) > 0
         return Load(
             self._sequence,
             self.started,
@@ -267,13 +279,13 @@
             self.find_state(now),
             self.slots,
             self.in_progress,
-            round(max(self.service_ms, stall_ms), 1),
+            round(self.estimate_service(now), 1),
             int(self.find_cold_time(now) * 1000),
             round(self.expected, 3),
             int(self.report_intervals.local * 1000),
             int(self.report_intervals.remote * 1000),
             cold_allowance=self._find_cold_allowance(now),
-            limit=self._find_stalled_limit() if stall_ms else 0,
+            limit=self._find_stalled_limit() if hangs else self.capacity.limit,
         )
 
     def find_stall(self, now: float) -> float:
@@ -289,8 +301,22 @@
         if not self.requesting:
             return 0.0
         silent = now - self.progress_at
-        usual = max(STALL_MIN, STALL_MULTIPLE * self.service_ms / 1000)
-        return silent if silent > usual else 0.0
+        return silent if silent > self.find_usual_time() else 0.0
+
+    def estimate_service(self, now: float) -> float:
+        """Return the expected service time, in milliseconds.
+
+        It is the mean, or the time for which the target has hung.
+        """
+        return max(self.service_ms, self.find_stall(now) * 1000)
+
+    def find_usual_time(self) -> float:
+        """Return the longest usual time of a response, in seconds."""
+        return max(STALL_MIN, STALL_MULTIPLE * self.service_ms / 1000)
+
+    def find_limit(self) -> int:
+        """Return how many requests the target serves well concurrently."""
+        return self.capacity.limit or self.slots or 1
 
     def find_cold_time(self, now: float) -> float:
         """Return how long the target stays cold, in seconds."""
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -6,6 +6,7 @@
 
 from ..events import FLOW_ENDED
 from ..events import FLOW_OPENED
+from ..events import TARGET_LIMIT_CHANGED
 from .actions import DeliverToTarget
 from .actions import Log
 from .actions import Send
@@ -159,16 +160,17 @@
 ) -> list[Action]:
     """Free the slot of a request whose answer begins."""
     if segment.length:
+        if agent.find_stall(now):
+            agent.stalled_until = now
         agent.progress_at = now
     elapsed = flow.activity.record_target_data(segment, now)
     if elapsed is None:
         return []
-    alone_ms = elapsed * 1000 / flow.activity.shared_by
-    agent.service_ms += (alone_ms - agent.service_ms) * MEAN_WEIGHT
+    actions = _learn_capacity(agent, flow, elapsed, now)
     if flow.state is AgentFlowState.ENDED:
-        return []
+        return actions
     become_idle(agent, segment.flow, flow)
-    return _report_free_slot(agent, flow, now)
+    return actions + _report_free_slot(agent, flow, now)
 
 
 def adopt_flow(
@@ -241,6 +243,39 @@
     return actions
 
 
+def _learn_capacity(
+    agent: AgentState, flow: AgentFlow, elapsed: float, now: float
+) -> list[Action]:
+    """Learn from the response time of a request.
+
+    A target that hangs or is cold shows nothing about its concurrency.
+    """
+    capacity = agent.capacity
+    concurrency = flow.activity.concurrency
+    limit = agent.find_limit()
+    alone_ms = elapsed * 1000 / max(1.0, concurrency / limit)
+    longest = agent.find_usual_time()
+    usual = elapsed <= longest
+    if now - elapsed < agent.stalled_until:
+        # The time that the target has hung was reported meanwhile. As its
+        # service time, it would have flows refused after the recovery.
+        alone_ms = min(alone_ms, longest * 1000)
+    capacity.record_response(alone_ms, now)
+    if not usual or agent.find_cold_time(now) > 0:
+        return []
+    if not capacity.learn_limit(concurrency, alone_ms, agent.slots, now):
+        return []
+    agent.counts['limit_changes'] += 1
+    fields = {
+        'limit': capacity.limit,
+        'before': limit,
+        'slots': agent.slots,
+        'reason': capacity.reason.value,
+        'service_ms': round(capacity.service_ms, 1),
+    }
+    return [Log(TARGET_LIMIT_CHANGED, fields)]
+
+
 def _charge_request(agent: AgentState, flow: AgentFlow, now: float) -> None:
     """Charge a request to a cold target, unless its flow was charged."""
     if not flow.charged:
@@ -288,7 +323,7 @@
     set_counted(agent, flow, occupies)
     if occupies:
         begin_request(agent, flow, now)
-    activity.shared_by = max(1.0, agent.delivered / max(1, agent.slots))
+    activity.concurrency = agent.delivered
 
 
 def _report_free_slot(
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/agent.py
@@ -15,6 +15,7 @@
 from pistachiohook_core.passthrough.actions import Log
 from pistachiohook_core.passthrough.actions import Send
 from pistachiohook_core.passthrough.agent import Agent
+from pistachiohook_core.passthrough.capacity import LimitReason
 from pistachiohook_core.passthrough.discovery import AGENT
 from pistachiohook_core.passthrough.discovery import Finder
 from pistachiohook_core.passthrough.kept_flows import choose_holders
@@ -34,6 +35,7 @@
 from .transport import build_sender
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from pistachiohook_core.metrics import Metrics
@@ -263,6 +265,7 @@
         'zones_evacuated': lambda: len(finder.evacuated),
         'zone_evacuated': lambda: int(agent.evacuated),
         'flows_open': agent.count_open,
+        **_list_capacity_gauges(agent),
     }
     send = build_sender(link)
     role = AgentRole(settings, agent, finder, outbound, send, report)
@@ -286,3 +289,20 @@
         ),
     )
     return role
+
+
+def _list_capacity_gauges(agent: Agent) -> dict[str, Callable[[], float]]:
+    """Return the gauges of what an agent has learned about its target.
+
+    The reason for the last change of the limit is its number in the order of
+    :class:`LimitReason`.
+    """
+    now = asyncio.get_running_loop().time
+    capacity = agent.capacity
+    reasons = list(LimitReason)
+    return {
+        'target_limit': agent.find_limit,
+        'target_limit_reason': lambda: reasons.index(capacity.reason),
+        'target_service_ms': lambda: agent.estimate_service(now()),
+        'target_sample_age_s': lambda: round(now() - capacity.sampled_at, 3),
+    }
--- a/tests/core/passthrough/capacity.feature
+++ b/tests/core/passthrough/capacity.feature
@@ -37,3 +37,64 @@
     Given 1 balancers in zone "x" with 1 agents that serve 2 requests each
     When one request takes 2000 ms, and others arrive one after the other for 1 s
     Then no balancer expects a wait above 0 ms
+
+  # Guards against a limit that is not learned, or known at the agent alone.
+  Scenario: A target that slows down before it is full gets a lower limit
+    Given a target that is fast up to 2 of its 4 requests
+    When it is loaded at 85 of 100 of what it can do for 8 s
+    Then its limit is 1 to 3 at its agent and at the balancer
+
+  # Guards against a limit that a new agent takes for granted: it begins with
+  # the slots.
+  Scenario: The limit is learned again after a restart of the agent
+    Given a target that is fast up to 2 of its 4 requests
+    And it is loaded at 85 of 100 of what it can do for 8 s
+    When its agent restarts
+    Then its limit is 0 to 0 at its agent and at the balancer
+    When it is loaded at 85 of 100 of what it can do for 8 s
+    Then its limit is 1 to 3 at its agent and at the balancer
+
+  # Guards against balancers that learn a limit from regular reports alone, and
+  # against a late report that takes it back.
+  Scenario: A limit is known when reports are lost or late
+    Given a target that is fast up to 2 of its 4 requests
+    When all its regular reports are lost
+    And it is loaded at 85 of 100 of what it can do for 8 s
+    And its first report arrives again
+    Then its limit is 1 to 3 at its agent and at the balancer
+
+  # Guards against a limit that chance or a change of the speed lowers.
+  Scenario Outline: A target that is as fast when busy keeps its slots at <part> of 100
+    Given a target that is fast up to <slots> of its <slots> requests
+    When it is loaded at <part> of 100 of what it can do for 10 s
+    Then its limit is 0 to 0 at its agent and at the balancer
+
+    Examples:
+      | part | slots |
+      | 50   | 4     |
+      | 80   | 4     |
+      | 95   | 4     |
+      | 110  | 2     |
+      | 80   | 2     |
+      | 80   | 8     |
+
+  Scenario Outline: A target whose speed changes by <factor> every <pause> s keeps its slots
+    Given a target that is fast up to 4 of its 4 requests
+    When its speed changes by a factor of <factor> every <pause> s meanwhile
+    And it is loaded at 60 of 100 of what it can do for 10 s
+    Then its limit is 0 to 0 at its agent and at the balancer
+
+    Examples:
+      | factor | pause |
+      | 0.25   | 1.0   |
+      | 0.25   | 0.3   |
+      | 0      | 0.5   |
+      | 0.5    | 2.0   |
+
+  # Guards against a target that gets too little for lack of new measurements.
+  Scenario: The estimate of an idle target returns to its usual time
+    Given a target that is fast up to 2 of its 2 requests
+    When it is loaded at 60 of 100 of what it can do for 10 s
+    And its requests take 8 times as long for 1 s
+    And 20000 ms pass
+    Then its agent expects at most 2 times the usual time
--- a/tests/core/passthrough/steps/capacity_steps.py
+++ b/tests/core/passthrough/steps/capacity_steps.py
@@ -2,33 +2,19 @@
 
 from __future__ import annotations
 
-from random import Random
-
 import attrs
 from behave import given
 from behave import then
 from behave import when
-from mesh import Mesh
-
-SERVICE = 0.05
-
-
-@attrs.define(eq=False)
-class HangingMesh(Mesh):
-    """Mesh whose targets may hang: they accept flows and answer none."""
-
-    hung_until: dict = attrs.field(factory=dict)
+from pistachiohook_core.passthrough.messages import LoadReport
+from uneven_mesh import play
+from uneven_mesh import SERVICE
+from uneven_mesh import UnevenMesh
 
-    def hang(self, names, seconds):
-        for name in names:
-            self.hung_until[name] = self.now + seconds
 
-    def finish(self, name, target, flow):
-        until = self.hung_until.get(name, 0.0)
-        if until > self.now:
-            self.at(until, self.finish, name, target, flow)
-        else:
-            super().finish(name, target, flow)
+def hang(mesh, names, seconds):
+    mesh.set_speed(names, 0.0)
+    mesh.at(mesh.now + seconds, mesh.set_speed, names, 1.0)
 
 
 @given(
@@ -36,11 +22,11 @@
     ' serve {slots:d} requests each'
 )
 def build(context, balancers, zone, agents, slots):
-    mesh = context.mesh = HangingMesh()
+    mesh = context.mesh = UnevenMesh()
     for number in range(balancers):
         mesh.add_balancer(f'b{number}', zone)
     for number in range(agents):
-        mesh.add_agent(f'a{number}', zone, slots=slots, queue_max=4)
+        mesh.add_target(f'a{number}', zone, slots)
     mesh.set_routes('s')
     mesh.run(0.5)
 
@@ -60,7 +46,7 @@
 def call_and_hang(context, callers, name, wait, length):
     call_once(context, callers)
     context.mesh.run(wait / 1000)
-    context.mesh.hang([name], length / 1000)
+    hang(context.mesh, [name], length / 1000)
     context.mesh.run(3)
 
 
@@ -70,7 +56,7 @@
 )
 def call_hanging(context, callers, length):
     mesh = context.mesh
-    mesh.hang(mesh.agents, length / 1000)
+    hang(mesh, list(mesh.agents), length / 1000)
     call_once(context, callers)
 
 
@@ -88,9 +74,9 @@
     names = list(mesh.agents) if who == 'every agent' else [who.strip('"')]
     slots = sum(target.slots for target in mesh.targets.values())
     context.recovered_at = mesh.now + begin + length
-    mesh.at(mesh.now + begin, mesh.hang, names, length)
+    mesh.at(mesh.now + begin, hang, mesh, names, length)
     mesh.at(context.recovered_at + 1.2, note_runs, context)
-    play(context, part / 100 * slots / SERVICE, total)
+    context.calls = play(mesh, part / 100 * slots / SERVICE, total)
 
 
 def note_runs(context):
@@ -100,24 +86,6 @@
     }
 
 
-def play(context, rate, length):
-    """Let callers call at random times and with random work."""
-    mesh = context.mesh
-    random = Random(3)
-    names = list(mesh.balancers)
-    end = mesh.now + length
-    context.calls = []
-
-    def call():
-        if mesh.now < end:
-            work = random.gammavariate(4, SERVICE / 4)
-            context.calls.append(mesh.call(random.choice(names), work))
-            mesh.at(mesh.now + random.expovariate(rate), call)
-
-    call()
-    mesh.run(length + 3)
-
-
 @when(
     'one request takes {length:d} ms, and others arrive one after the other'
     ' for 1 s'
@@ -204,3 +172,77 @@
         for host, target in context.mesh.targets.items()
     }
     assert runs[name] >= part * sum(runs.values()) / len(runs), runs
+
+
+@given('a target that is fast up to {knee:d} of its {slots:d} requests')
+def build_knee(context, knee, slots):
+    mesh = context.mesh = UnevenMesh()
+    mesh.add_balancer('b0', 'x')
+    mesh.add_target('a0', 'x', slots, 4.0, knee)
+    mesh.set_routes('s')
+    mesh.run(0.5)
+
+
+@given('it is loaded at {part:d} of 100 of what it can do for {length:d} s')
+@when('it is loaded at {part:d} of 100 of what it can do for {length:d} s')
+def load_knee(context, part, length):
+    work = context.mesh.work['a0']
+    rate = part / 100 * 4.0 * work.knee / SERVICE
+    context.calls = play(context.mesh, rate, length)
+
+
+@when(
+    'its speed changes by a factor of {factor:g} every {pause:g} s meanwhile'
+)
+def change_speed(context, factor, pause):
+    mesh = context.mesh
+    for number in range(20):
+        speed = 4.0 if number % 2 else 4.0 * factor
+        mesh.at(mesh.now + number * pause, mesh.set_speed, ['a0'], speed)
+
+
+@when('all its regular reports are lost')
+def lose_reports(context):
+    context.mesh.reports = False
+
+
+@when('its first report arrives again')
+def repeat_report(context):
+    mesh = context.mesh
+    load = mesh.agents['a0'].describe_load(mesh.now)
+    early = attrs.evolve(load, sequence=1, limit=0)
+    mesh.balancers['b0'].receive_message(
+        mesh.address('a0'), LoadReport(early), mesh.now
+    )
+
+
+@when('its agent restarts')
+def restart(context):
+    mesh = context.mesh
+    del mesh.agents['a0']
+    mesh.start_agent('a0')
+    mesh.announce('a0')
+    mesh.run(0.5)
+
+
+@then('its limit is {least:d} to {most:d} at its agent and at the balancer')
+def check_limit(context, least, most):
+    mesh = context.mesh
+    view = mesh.balancers['b0'].views.find('s', mesh.address('a0'))
+    found = (mesh.agents['a0'].capacity.limit, view.load.limit)
+    assert all(least <= limit <= most for limit in found), found
+
+
+@when('its requests take {factor:d} times as long for {length:d} s')
+def slow_down(context, factor, length):
+    mesh = context.mesh
+    context.usual_ms = mesh.agents['a0'].service_ms
+    mesh.set_speed(['a0'], 4.0 / factor)
+    play(mesh, 20, length)
+    assert mesh.agents['a0'].service_ms > 2 * context.usual_ms
+
+
+@then('its agent expects at most {factor:g} times the usual time')
+def check_usual(context, factor):
+    found = context.mesh.agents['a0'].describe_load(context.mesh.now)
+    assert found.service_ms <= factor * context.usual_ms, found
