Claim a recovered flow only perhaps when a packet may be of a later one

Cause: an agent claimed a flow that a balancer had kept for it for certain, whatever a packet acknowledged. When the caller had left that flow and used its port again, the later flow's packets went to the wrong target, beyond the two that may be tried.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_flows.py
@@ -200,6 +200,21 @@
     return distance >= 2 * GONE_RANGE
 
 
+def may_be_earlier(flow: AgentFlow, acknowledged: int) -> bool:
+    """Tell whether a packet may be of a later flow than a recovered one.
+
+    It may also be of a recovered flow on which the target has sent much. So
+    its balancer tries the agent, but only as one that may own the flow.
+    """
+    recovered = flow.state is AgentFlowState.OPEN and not flow.accepted_at
+    if not recovered or not flow.sequence:
+        return False
+    if flow.activity.answered_to is not None:
+        return False
+    ahead = (acknowledged - flow.sequence) % SEQUENCE_RANGE
+    return not ahead < GONE_RANGE
+
+
 def is_open_elsewhere(flow: AgentFlow, acknowledged: int) -> bool:
     """Tell whether a caller has opened a flow at another target.
 
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -17,6 +17,7 @@
 from .agent_flows import HANDSHAKE_MULTIPLE
 from .agent_flows import is_gone
 from .agent_flows import is_open_elsewhere
+from .agent_flows import may_be_earlier
 from .agent_flows import note_gone
 from .agent_flows import note_returned
 from .agent_flows import OPENING_CHECK_INTERVAL
@@ -90,7 +91,8 @@
         return []
     flow = agent.flows.get(message.flow)
     if flow is not None and not is_open_elsewhere(flow, message.acknowledged):
-        return [Send(sender, OwnerReply(message.flow, True))]
+        certain = not may_be_earlier(flow, message.acknowledged)
+        return [Send(sender, OwnerReply(message.flow, certain))]
     if is_gone(agent, message.flow, message.acknowledged):
         return [Send(sender, FlowGone(message.flow))]
     if flow is not None:
--- a/tests/core/passthrough/reused_ports.feature
+++ b/tests/core/passthrough/reused_ports.feature
@@ -77,3 +77,16 @@
     When a flow is open at its target
     And the target restarts, and a flow of the port is offered and withdrawn
     Then the caller does not get the target's acceptance
+
+  # Guards against the same: a flow that a balancer had kept was claimed for
+  # certain, also for packets of a later flow of its port.
+  Scenario Outline: The claim of an agent that has got a flow back is <how> when a packet acknowledges <what>
+    Given an agent that has started after its target
+    When a balancer returns a flow that it had kept
+    And a balancer asks for the owner of a packet that acknowledges <what>
+    Then its claim is <how>
+
+    Examples:
+      | what                   | how         |
+      | data of its target     | certain     |
+      | data of another target | not certain |
--- a/tests/core/passthrough/steps/reused_port_steps.py
+++ b/tests/core/passthrough/steps/reused_port_steps.py
@@ -128,12 +128,23 @@
     if what == 'has ended':
         answer(agent, 0, 0.5, flags=ENDS)
     else:
-        flows = ((find_flow(0), TARGET_START),)
-        kept = KeptFlows(BALANCER, 's', 1, 0, 1, flows, False, ())
-        agent.receive_message(BALANCER, kept, 0.5)
+        return_kept(context)
     return_packet(context)
 
 
+@when('a balancer returns a flow that it had kept')
+def return_kept(context):
+    flows = ((find_flow(0), TARGET_START),)
+    kept = KeptFlows(BALANCER, 's', 1, 0, 1, flows, False, ())
+    context.agent.receive_message(BALANCER, kept, 0.5)
+
+
+@then('its claim is {how}')
+def check_certainty(context, how):
+    [reply] = context.replies
+    assert reply.message.certain == (how == 'certain'), reply
+
+
 @when('the target returns a packet of the port and restarts')
 def return_and_restart(context):
     return_packet(context)
