Withhold acceptances of withdrawn offers after an agent's restart

Cause: an agent that had got a flow back from a balancer took an offer at the same caller's port for a repeated opening packet of that flow. Its target had not the flow any more and accepted a new one, whose acceptance reached the caller although the offer had been withdrawn.

Change: a flow that an agent has adopted is in doubt until its target sends a packet of it, as after a restart of the target.

One scenario, which failed before.

--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/admission.py
@@ -245,9 +245,9 @@
 def _may_be_replaced(flow: AgentFlow) -> bool:
     """Tell whether an offer is of another flow at the ports of a known one.
 
-    A target that has restarted has most likely lost the flows that were open.
-    As a retransmission, the opening packet would be delivered even if the
-    offer was withdrawn.
+    A target that has restarted has most likely lost the flows that were open,
+    and one whose agent has restarted may have ended them. As a retransmission,
+    the opening packet would be delivered even if the offer was withdrawn.
     """
     lost = flow.state is AgentFlowState.OPEN and flow.doubtful
     return lost or flow.state is AgentFlowState.ENDED
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/agent_state.py
@@ -91,7 +91,8 @@
     :param activity: progress of its requests
     :param charged: whether its next request is charged already to the
         allowance of its cold target
-    :param doubtful: whether the target has restarted since its last packet
+    :param doubtful: whether the target has sent no packet of it since the
+        start of the target or of the agent, so that it may be lost or ended
     """
 
     state: AgentFlowState
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/open_flows.py
@@ -181,6 +181,7 @@
 ) -> AgentFlow:
     """Add a flow that the target may have opened before this start."""
     flow = AgentFlow(AgentFlowState.OPEN, balancer, now, now, counted=False)
+    flow.doubtful = True
     agent.flows[key] = flow
     become_idle(agent, key, flow)
     agent.check_within(CHECK_INTERVAL, now)
--- a/tests/core/passthrough/reused_ports.feature
+++ b/tests/core/passthrough/reused_ports.feature
@@ -78,6 +78,13 @@
     And the target restarts, and a flow of the port is offered and withdrawn
     Then the caller does not get the target's acceptance
 
+  # Guards against the same when the agent has restarted as planned.
+  Scenario: The acceptance of a withdrawn offer is withheld when the agent has got an earlier flow of the port back
+    Given an agent that has started after its target
+    When a balancer returns a flow that it had kept
+    And a flow of the port is offered and withdrawn
+    Then the caller does not get the target's acceptance
+
   # Guards against the same: a flow that a balancer had kept was claimed for
   # certain, also for packets of a later flow of its port.
   Scenario Outline: The claim of an agent that has got a flow back is <how> when a packet acknowledges <what>
--- a/tests/core/passthrough/steps/reused_port_steps.py
+++ b/tests/core/passthrough/steps/reused_port_steps.py
@@ -158,11 +158,9 @@
     assert messages == [FlowReturned(find_flow(0))], messages
 
 
-@when('the target restarts, and a flow of the port is offered and withdrawn')
-def withdraw_after_restart(context):
+@when('a flow of the port is offered and withdrawn')
+def withdraw_offer(context):
     agent = context.agent
-    announcement = TargetAnnouncement('t', 3000, 1, 1, False, 0.0)
-    agent.receive_announcement(announcement, 3.0)
     opening = encode(find_flow(0), OPENS, 70_000)
     offer = Offer('s', 1000.0, 1000.0, 300.0, 1, opening)
     agent.receive_message(BALANCER, offer, 4.0)
@@ -171,6 +169,13 @@
     context.actions = agent.receive_packet(accept, 4.0)
 
 
+@when('the target restarts, and a flow of the port is offered and withdrawn')
+def withdraw_after_restart(context):
+    announcement = TargetAnnouncement('t', 3000, 1, 1, False, 0.0)
+    context.agent.receive_announcement(announcement, 3.0)
+    withdraw_offer(context)
+
+
 @then("the caller does not get the target's acceptance")
 def check_withheld(context):
     assert not contains(context.actions, DeliverToCaller), context.actions
