--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -411,6 +411,9 @@
             and self.get_elapsed() < end
         ):
             await asyncio.sleep(0.005)
+        await self.cut_all_power('controls', magnitude)
+
+    async def cut_all_power(self, _, magnitude):
         for name in self.controls:
             self.machines[name].lose_power(magnitude)
         await asyncio.sleep(0.1 + 1.4 * magnitude)
@@ -418,12 +421,22 @@
             self.machines[name].start()
 
     async def evacuate(self, _, magnitude):
-        """Evacuate a zone, check that it gets no new flow, and return it."""
+        """Evacuate a zone, check that it gets no new flow, and return it.
+
+        In half of the cases all control instances lose power right after the
+        acknowledgement, which must survive.
+        """
         loop = asyncio.get_running_loop()
         operator = self.operator
         await operator.set_evacuated(True, loop.time() + CONDITION_TIMEOUT)
-        begin = loop.time() + self.bounds.evacuation
-        await asyncio.sleep(ORDER_INTERVAL + 4.0 * magnitude)
+        ordered_at = loop.time()
+        begin = ordered_at + self.bounds.evacuation
+        if magnitude > 0.5 and self.may_inject('controls'):
+            self.record('cut_all_power controls')
+            power_loss = PlannedFault(0.0, 'cut_all_power', 0.0, 1 - magnitude)
+            await self.inject_fault('controls', power_loss)
+        duration = ORDER_INTERVAL + 4.0 * magnitude
+        await asyncio.sleep(ordered_at + duration - loop.time())
         end = loop.time()
         for name in self.agents:
             if self.machines[name].zone == EVACUATED_ZONE:
