--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -30,6 +30,21 @@
       | 101  |
       | 604  |
 
+  # Guards against new flows in an evacuated zone, a lost order and an unbounded
+  # cold target. Of seed 17, a control instance is killed after the order, a
+  # target hangs and the agent of a cold target restarts; of seed 142, all
+  # control instances lose power.
+  Scenario Outline: A zone is evacuated, targets hang and start cold, by seed <seed>
+    When seed <seed> is run with faults, orders and slow targets for 3 seconds
+    Then no guarantee is violated
+    And no process has exited unexpectedly
+    And calls were answered while faults were injected
+
+    Examples:
+      | seed |
+      | 17   |
+      | 142  |
+
   Scenario Outline: A file holds <content> after a power loss when <what>
     Given a disk with a synced file "ab"
     When <what>, and power is lost
