--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -31,9 +31,8 @@
       | 604  |
 
   # Guards against new flows in an evacuated zone, a lost order and an unbounded
-  # cold target. Of seed 17, a control instance is killed after the order, a
-  # target hangs and the agent of a cold target restarts; of seed 142, all
-  # control instances lose power.
+  # cold target. In both seeds all control instances lose power after the order,
+  # in seed 17 right after it, and an agent restarts beside its cold target.
   Scenario Outline: A zone is evacuated, targets hang and start cold, by seed <seed>
     When seed <seed> is run with faults, orders and slow targets for 3 seconds
     Then no guarantee is violated
