--- a/tests/core/passthrough/steps/lost_flow_steps.py
+++ b/tests/core/passthrough/steps/lost_flow_steps.py
@@ -624,11 +624,7 @@
     await_reports(mesh)
 
 
-@when(
-    "the flow's agent {how}, and the caller repeats a packet for 4 s through"
-    ' "{name}"'
-)
-def lose_agent(context, how, name):
+def take_agent_away(context, how):
     mesh = context.mesh
     prepare_loss(context)
     mesh.targets[context.owner].runs.clear()
@@ -637,10 +633,22 @@
     else:
         del mesh.agents[context.owner]
     mesh.run(0.1)
-    context.flow.balancer = name
-    for pause in (0.2, 0.4, 0.8, 1.6, 1.0):
-        mesh.send_subsequent(context.flow, 0, 10)
-        mesh.run(pause)
+
+
+def repeat_packet(context, balancer, pauses):
+    context.flow.balancer = balancer
+    for pause in pauses:
+        context.mesh.send_subsequent(context.flow, 0, 10)
+        context.mesh.run(pause)
+
+
+@when(
+    "the flow's agent {how}, and the caller repeats a packet for 4 s through"
+    ' "{name}"'
+)
+def lose_agent(context, how, name):
+    take_agent_away(context, how)
+    repeat_packet(context, name, (0.2, 0.4, 0.8, 1.6, 1.0))
 
 
 @when(
@@ -648,16 +656,9 @@
     ' through each of "{names}"'
 )
 def spray_packets(context, names):
-    mesh = context.mesh
-    prepare_loss(context)
-    mesh.targets[context.owner].runs.clear()
-    del mesh.agents[context.owner]
-    mesh.run(0.1)
+    take_agent_away(context, 'is killed')
     for name in names.split(','):
-        context.flow.balancer = name
-        for pause in (0.2, 0.8):
-            mesh.send_subsequent(context.flow, 0, 10)
-            mesh.run(pause)
+        repeat_packet(context, name, (0.2, 0.8))
 
 
 @then('at most {most:d} packets have reached other targets')
