Close the sockets of callers and targets after each scenario

Cause: LoopbackPlatform.close() left the sockets of callers and targets to the garbage collector, so that they held their ports during the scenarios that followed. A later platform probes 127.0.0.1 alone, where the callers' port of an earlier one is free, and fails to bind it at 127.0.0.9.

Evidence: after a platform was closed, its callers' port and its targets' ports could not be bound. The new scenario failed before (OSError 98) and passes now.

--- a/tests/platform/loopback.py
+++ b/tests/platform/loopback.py
@@ -384,6 +384,9 @@
             await self.stop(name)
 
     def close(self):
+        datagrams = [*self.targets.values(), self.caller]
+        for protocol in filter(None, datagrams):
+            protocol.transport.close()
         self.call(self.stop_all())
         self.loop.close()
         shutil.rmtree(self.folder)
--- a/tests/platform/path.feature
+++ b/tests/platform/path.feature
@@ -104,3 +104,8 @@
     Then every balancer becomes ready
     And of 40 calls through each balancer within 2 s, each target answers 5 to 24
     And the agents have the bounds of their settings
+
+  # Guards against sockets of one scenario that hold ports in the next.
+  Scenario: A platform that is closed holds no port of callers and targets
+    When the platform is closed
+    Then the ports of callers and targets are free
--- a/tests/platform/steps/path_steps.py
+++ b/tests/platform/steps/path_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import ExitStack
 import copy
 import errno
 from functools import partial
@@ -49,7 +50,9 @@
 )
 def start_platform(context, controls, balancers, agents):
     platform = context.platform = LoopbackPlatform()
-    context.add_cleanup(platform.close)
+    context.closing = ExitStack()
+    context.closing.callback(platform.close)
+    context.add_cleanup(context.closing.close)
     platform.call(platform.start_controls([f'c{n}' for n in range(controls)]))
     for number in range(balancers):
         platform.call(platform.start_balancer(f'b{number}'))
@@ -530,3 +533,19 @@
         if isinstance(message, LoadReport)
     }
     assert reported == names, reported
+
+
+@when('the platform is closed')
+def close_platform(context):
+    protocols = [context.platform.caller, *context.platform.targets.values()]
+    context.addresses = [
+        protocol.transport.get_extra_info('sockname') for protocol in protocols
+    ]
+    context.closing.close()
+
+
+@then('the ports of callers and targets are free')
+def check_ports(context):
+    for address in context.addresses:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            probe.bind(address)
