Give tests ports that no other run takes

Tests and tools probed for a free port, closed the probe and bound the port later; find_range() probed whole ranges on 0.0.0.0. Another copy of the tests, or an outgoing connection, could take the port in between. Each process now reserves blocks of ports by a file lock, below the range from which Linux takes the ports of outgoing connections, and gives out each port once.

--- a/tests/daemon/control/control_cluster.py
+++ b/tests/daemon/control/control_cluster.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import ExitStack
 from pathlib import Path
 import shutil
-import socket
 import tempfile
 import threading
 import time
@@ -21,6 +19,7 @@
 from pistachiohook_daemon.settings import Settings
 from pistachiohook_daemon.subscriber import build_subscriber
 from pistachiohook_daemon.supervisor import Supervisor
+from ports import find_port
 
 #: Longest wait for a condition that must come true, in seconds.
 CONDITION_TIMEOUT = 30.0
@@ -31,12 +30,7 @@
 
 
 def find_addresses(count):
-    """Return free addresses; the operating system chooses the ports."""
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for one in sockets:
-            one.bind(('127.0.0.1', 0))
-        return [Address(*one.getsockname()) for one in sockets]
+    return [Address('127.0.0.1', find_port()) for _ in range(count)]
 
 
 @attrs.define(eq=False)
--- a/tests/daemon/route_following/steps/route_following_steps.py
+++ b/tests/daemon/route_following/steps/route_following_steps.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from itertools import count
-import socket
 
 import attrs
 from behave import given
@@ -27,6 +26,7 @@
 from pistachiohook_daemon.serving import HttpResponse
 from pistachiohook_daemon.serving import serve_http
 from pistachiohook_daemon.supervisor import Supervisor
+from ports import find_port
 
 #: Interval at which the stand-ins announce their version, in seconds.
 ANNOUNCE_INTERVAL = 0.1
@@ -56,10 +56,8 @@
         )
 
 
-def find_address(kind=socket.SOCK_DGRAM):
-    with socket.socket(type=kind) as probe:
-        probe.bind(('127.0.0.1', 0))
-        return Address(*probe.getsockname())
+def find_address():
+    return Address('127.0.0.1', find_port())
 
 
 def ignore(*_, **__):
@@ -120,7 +118,7 @@
 
 def add(context, announced, sent, zone='z'):
     async def serve():
-        address = find_address(socket.SOCK_STREAM)
+        address = find_address()
         node = Node(f'c{next(context.numbers)}', zone)
         standin = StandIn(node, address, announced, sent)
         server = serve_http(
--- a/tests/daemon/serving/steps/serving_steps.py
+++ b/tests/daemon/serving/steps/serving_steps.py
@@ -13,6 +13,7 @@
 from pistachiohook_core.addresses import Address
 from pistachiohook_daemon.serving import HttpResponse
 from pistachiohook_daemon.serving import serve_http
+from ports import find_port
 from tornado.httpclient import AsyncHTTPClient
 
 #: Request for the route that is answered late.
@@ -44,9 +45,7 @@
         context.events.append((event.number, fields))
 
     async def serve():
-        with socket.socket() as probe:
-            probe.bind(('127.0.0.1', 0))
-            address = Address(*probe.getsockname())
+        address = Address('127.0.0.1', find_port())
         return address, serve_http(address, routes, report)
 
     context.address, server = context.loop.run_until_complete(serve())
@@ -116,9 +115,7 @@
         return HttpResponse(body=b'late')
 
     async def serve():
-        with socket.socket() as probe:
-            probe.bind(('127.0.0.1', 0))
-            address = Address(*probe.getsockname())
+        address = Address('127.0.0.1', find_port())
         return address, serve_http(
             address, {'GET /slow': answer}, lambda *_, **__: None
         )
--- a/tests/platform/loopback.py
+++ b/tests/platform/loopback.py
@@ -29,6 +29,7 @@
 from pistachiohook_platform.calls import serve_target
 from pistachiohook_platform.packets import SEGMENT_FORMAT
 from pistachiohook_platform.readiness import serve_readiness
+from ports import find_port
 from tornado.httpclient import AsyncHTTPClient
 
 #: Time after which a wait for a condition or an answer fails, in seconds.
@@ -47,35 +48,9 @@
 KEYS = LinkKeys(b'k' * 32)
 
 
-def find_address(kind=socket.SOCK_STREAM, host='127.0.0.1'):
-    """Return an address whose port the operating system found free."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((host, 0))
-        return Address(*probe.getsockname())
-
-
-def find_range(size):
-    """Return the first of ``size`` successive ports that are free.
-
-    Each port is free on every local address, for both TCP and UDP.
-    """
-    while True:
-        first = find_address().port
-        if first + size < 65536 and all(
-            is_free(port, kind)
-            for port in range(first, first + size)
-            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)
-        ):
-            return first
-
-
-def is_free(port, kind):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        try:
-            probe.bind(('0.0.0.0', port))
-        except OSError:
-            return False
-    return True
+def find_address():
+    """Return an address with a free port."""
+    return Address('127.0.0.1', find_port())
 
 
 def host_to_int(host):
@@ -246,7 +221,7 @@
         return NodeSettings(name, zone, link, self.seeds, find_address(), 6.0)
 
     async def start_controls(self, names):
-        self.seeds = tuple(find_address(socket.SOCK_DGRAM) for _ in names)
+        self.seeds = tuple(find_address() for _ in names)
         self.peers = tuple(find_address() for _ in names)
         for name, link, peer in zip(
             names, self.seeds, self.peers, strict=True
@@ -281,17 +256,15 @@
         self.controls[name] = role
 
     async def start_diskless(self, name):
-        link = find_address(socket.SOCK_DGRAM)
+        link = find_address()
         self.start_control(name, link, find_address(), '')
 
     async def start_balancer(self, name, zone='x'):
-        entry = find_address(socket.SOCK_DGRAM)
+        entry = find_address()
         if self.caller is not None:
             entry = Address(f'127.0.0.{2 + len(self.balancers)}', self.port)
         settings = BalancerSettings(
-            self.make_node_settings(
-                name, find_address(socket.SOCK_DGRAM), zone
-            ),
+            self.make_node_settings(name, find_address(), zone),
             entry,
         )
         supervisor = self.supervisors[name] = Supervisor(
@@ -320,13 +293,11 @@
         return next(iter(self.balancers.values())).settings.entry.port
 
     async def start_agent(self, name, zone='x'):
-        target = find_address(socket.SOCK_DGRAM)
+        target = find_address()
         settings = AgentSettings(
-            self.make_node_settings(
-                name, find_address(socket.SOCK_DGRAM), zone
-            ),
+            self.make_node_settings(name, find_address(), zone),
             's',
-            find_address(socket.SOCK_DGRAM),
+            find_address(),
             target,
             self.port,
             60.0,
--- a/tests/platform/steps/process_steps.py
+++ b/tests/platform/steps/process_steps.py
@@ -19,11 +19,11 @@
 from behave import then
 from behave import when
 from loopback import find_address
-from loopback import find_range
 from pistachiohook_core.passthrough.messages import FindOwner
 from pistachiohook_core.passthrough.messages import FLOW_CODEC
 from pistachiohook_core.passthrough.messages import OwnerReply
 from pistachiohook_core.passthrough.segments import make_flow
+from ports import find_range
 
 #: Time within which a process must exit, in seconds.
 EXIT_TIMEOUT = 30.0
@@ -55,16 +55,15 @@
     context.add_cleanup(shutil.rmtree, context.folder)
     context.role = role
     first = find_range(16)
-    udp = socket.SOCK_DGRAM
     context.settings = {
         'NodeId': 'node-1',
         'Ip': HOST,
         'Zone': 'x',
         'Listen': {
-            'DatagramAddr': str(find_address(udp)),
+            'DatagramAddr': str(find_address()),
             'ReadinessAddr': str(find_address()),
             'Control': str(find_address()),
-            'outbound': str(find_address(udp)),
+            'outbound': str(find_address()),
         },
         'InternalPorts': [first, first + 15],
         'Seeds': [f'{HOST}:8166'],
@@ -72,7 +71,7 @@
         'DataDir': str(context.folder / 'data'),
         'Bounds': {'GraceS': 2},
         'Service': 's',
-        'app': str(find_address(udp)),
+        'app': str(find_address()),
     }
     write(context)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,11 +13,11 @@
 import time
 
 import attrs
-from loopback import find_range
 from machines import EVACUATED_ZONE
 from machines import Machine
 from machines import PORT_COUNT
 from pistachiohook_core.addresses import Address
+from ports import find_range
 from traffic import Bounds
 from traffic import CALLER_HOST
 from traffic import Callers
--- a/tools/measure_control.py
+++ b/tools/measure_control.py
@@ -8,13 +8,11 @@
 
 from __future__ import annotations
 
-from contextlib import ExitStack
 import json
 import os
 from pathlib import Path
 import platform
 import secrets
-import socket
 import tempfile
 import time
 from typing import Any
@@ -22,6 +20,7 @@
 import urllib.request
 
 import attrs
+from ports import find_port
 from processes import is_healthy
 from processes import manage_processes
 from processes import Processes
@@ -452,12 +451,8 @@
 
 
 def allocate_addresses(count: int) -> list[str]:
-    """Return free loopback addresses, with ports chosen by the system."""
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for one in sockets:
-            one.bind(('127.0.0.1', 0))
-        return [f'127.0.0.1:{one.getsockname()[1]}' for one in sockets]
+    """Return loopback addresses with free ports."""
+    return [f'127.0.0.1:{find_port()}' for _ in range(count)]
 
 
 def describe(result: Result) -> dict[str, Any]:
