Use callers' ports again in the soak, and test withdrawn keys and nodes

The soak's callers use the port of an answered call again from 0.3 s after its answer on, with a higher sequence number, and drop what does not acknowledge their own. Targets send a fifth of their answers twice. KINDS=stops adds planned stops with the signal sent twice or during a pause.

--- a/Makefile
+++ b/Makefile
@@ -85,7 +85,7 @@
 soak: export PYTHONPATH := $(PYTHONPATH):tests/platform:tests/soak
 soak: setup
 	$(BIN)/python tests/soak/soak.py --seeds $(or $(SEEDS),0-4) \
-	    --length $(or $(LENGTH),15) --kinds $(or $(KINDS),orders)
+	    --length $(or $(LENGTH),15) --kinds $(or $(KINDS),stops)
 
 format: setup
 	$(BIN)/ruff format packages platform tests tools
--- a/tests/daemon/control/control.feature
+++ b/tests/daemon/control/control.feature
@@ -28,6 +28,31 @@
     And the newest revision is applied by node "n"
     And node "n" never went back to a lower revision
 
+  # Guards against a target that has left and is in use again, by a snapshot
+  # or by the entries of the log.
+  Scenario Outline: A node that left stays away after a restart of all instances, with a snapshot every <count> entries
+    Given a snapshot is taken every <count> entries
+    And 3 control instances and a node "n"
+    When 8 changes against the newest revision are accepted
+    And node "n" leaves
+    And all control instances are restarted
+    Then "n" is no member at any instance, nor its target published
+
+    Examples:
+      | count |
+      | 5     |
+      | 1000  |
+
+  # Guards against a revoked token that is in use again.
+  Scenario: A token that was removed is refused after a restart
+    Given 1 control instances and a node "n"
+    When GET /v1/configuration is sent with ana's and the body none
+    Then the answer has status 200
+    When the token file holds no token of an operator
+    And all control instances are restarted
+    And GET /v1/configuration is sent with ana's and the body none
+    Then the answer has status 401
+
   Scenario Outline: A node moves away from an isolated control instance
     Given 3 control instances and a node "n" on <role>
     When that instance can no longer send to the others
--- a/tests/daemon/control/steps/control_steps.py
+++ b/tests/daemon/control/steps/control_steps.py
@@ -303,6 +303,43 @@
     )
 
 
+@when('node "{name}" leaves')
+def leave(context, name):
+    cluster = context.cluster
+    cluster.wait(lambda: all(count_targets(cluster)))
+    subscriber, _ = cluster.nodes[name]
+    cluster.loop.call_soon_threadsafe(subscriber.leave)
+    cluster.wait(lambda: not any(count_targets(cluster)))
+    cluster.stop_node(name)
+
+
+def count_targets(cluster):
+    """Return the number of targets that each instance would publish."""
+    return [
+        len(make_published(role.state).targets)
+        for role, _ in cluster.roles.values()
+    ]
+
+
+@then('"{name}" is no member at any instance, nor its target published')
+def check_away(context, name):
+    # Reads are answered once the instance has applied what was accepted.
+    for instance, (role, _) in context.cluster.roles.items():
+        context.cluster.wait(
+            lambda instance=instance: (
+                send(context, instance, 'GET', '/v1/configuration').code == 200
+            )
+        )
+        assert name not in role.state.members
+    assert not any(count_targets(context.cluster))
+
+
+@when('the token file holds no token of an operator')
+def remove_token(context):
+    tokens = f'rolf reader {READER}\n'
+    (context.cluster.folder / 'tokens').write_text(tokens)
+
+
 @then('"{name}" is not a member')
 def compare_no_member(context, name):
     assert not context.cluster.is_member(name)
--- a/tests/daemon/links/links.feature
+++ b/tests/daemon/links/links.feature
@@ -41,6 +41,16 @@
     And the dialer sends revision 9 until it arrives
     Then the listener receives revision 9
 
+  # Guards against a withdrawn key that is in use again.
+  Scenario: A key that was removed is refused once the listener has restarted
+    Given the listener also accepts the key "22222222222222222222222222222222"
+    And a dialer with the key "22222222222222222222222222222222"
+    When the dialer sends revision 7
+    Then the listener receives revision 7
+    When the listener is restarted on its address
+    And the dialer sends revision 9 until event 5002 is logged
+    Then the listener has received nothing
+
   Scenario: A reader that is cancelled while a message arrives stops
     Given a dialer with the key "11111111111111111111111111111111"
     When 200 readers of the listener are cancelled while a message arrives
--- a/tests/daemon/links/steps/link_steps.py
+++ b/tests/daemon/links/steps/link_steps.py
@@ -145,6 +145,29 @@
     context.received = wait_for(context, send_repeatedly())
 
 
+@when('the dialer sends revision {number:d} until event 5002 is logged')
+def send_until_refused(context, number):
+    async def send_repeatedly():
+        receivers = [
+            asyncio.ensure_future(end.receive())
+            for end in (context.server, context.client)
+        ]
+        while 5002 not in context.events:
+            context.client.send(Update(number, 0.0))
+            await asyncio.sleep(0.01)
+        context.is_received = receivers[0].done()
+        for receiver in receivers:
+            receiver.cancel()
+        await asyncio.gather(*receivers, return_exceptions=True)
+
+    wait_for(context, send_repeatedly())
+
+
+@then('the listener has received nothing')
+def check_nothing_received(context):
+    assert not context.is_received
+
+
 @then('the listener receives revision {number:d}')
 def receive_revision(context, number):
     incoming = getattr(context, 'received', None)
--- a/tests/platform/loopback.py
+++ b/tests/platform/loopback.py
@@ -43,6 +43,9 @@
 #: target has returned unprocessed.
 SYN, ACK, FIN = 8, 4, 2
 
+#: Number of sequence numbers; after the last one they start again at 0.
+SEQUENCE_COUNT = 1 << 32
+
 #: Address of all callers; balancers and targets have other ones.
 CALLER_HOST = '127.0.0.9'
 KEYS = LinkKeys(b'k' * 32)
@@ -67,8 +70,8 @@
             host_to_int(destination[0]),
             flags,
             b'',
-            sequence,
-            acknowledged,
+            sequence % SEQUENCE_COUNT,
+            acknowledged % SEQUENCE_COUNT,
             len(data),
             0xABCD,
         )
@@ -86,10 +89,12 @@
     def __init__(self, name, outbound):
         self.name = name
         self.outbound = (outbound.host, outbound.port)
-        #: Callers whose request was answered, once for each request.
+        #: Port and initial sequence number of the caller of each request.
         self.ran = []
         #: Initial sequence number of the target for each caller.
         self.flows = {}
+        #: Initial sequence number of each caller of ``flows``.
+        self.numbers = {}
 
     def connection_made(self, transport):
         self.transport = transport
@@ -101,19 +106,33 @@
         caller = (socket.inet_ntoa(src.to_bytes(4, 'big')), sport)
         entry = (socket.inet_ntoa(dst.to_bytes(4, 'big')), dport)
         if flags & SYN:
-            # Initial sequence numbers close to those of another target could
-            # be mistaken for them, and the check below would miss a packet
-            # of a flow of the other target.
-            self.flows.setdefault(caller, randbits(31))
-            self.answer(entry, caller, SYN | ACK, seq + 1)
+            if self.opens_flow(caller, seq):
+                # Initial sequence numbers close to those of another target
+                # could be mistaken for them, and the check below would miss
+                # a packet of a flow of the other target.
+                self.flows[caller] = randbits(31)
+                self.numbers[caller] = seq
+            if self.numbers[caller] == seq:
+                self.answer(entry, caller, SYN | ACK, seq + 1)
         elif ack - self.flows.get(caller, ack) != 1:
             returned = data[:16] + bytes((flags | 1,)) + data[17:]
             self.transport.sendto(returned, self.outbound)
         elif length:
-            self.ran.append(caller)
+            self.ran.append((caller[1], self.numbers[caller]))
             body = self.name.encode()
             self.answer(entry, caller, ACK | FIN, seq + length, body)
 
+    def opens_flow(self, caller, number):
+        """Return whether an opening packet begins a new flow.
+
+        A caller that uses its port again has ended the flow before, and has a
+        higher number. Late copies of earlier opening packets have a lower one.
+        """
+        if caller not in self.flows:
+            return True
+        difference = (number - self.numbers[caller]) % SEQUENCE_COUNT
+        return 0 < difference < SEQUENCE_COUNT // 2
+
     def answer(self, entry, caller, flags, acknowledged, data=b''):
         packet = build_packet(
             entry, caller, flags, self.flows[caller], acknowledged, data
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -90,8 +90,21 @@
     'restart_cold',
     'restart_cold',
 )
+#: The same with more kinds of planned stops.
+STOP_KINDS = (
+    *ORDER_KINDS,
+    'terminate_twice',
+    'terminate_twice',
+    'terminate_paused',
+    'terminate_paused',
+)
 #: Lists of kinds by their name on the command line.
-KINDS_BY_NAME = {'basic': KINDS, 'all': ALL_KINDS, 'orders': ORDER_KINDS}
+KINDS_BY_NAME = {
+    'basic': KINDS,
+    'all': ALL_KINDS,
+    'orders': ORDER_KINDS,
+    'stops': STOP_KINDS,
+}
 #: Time after a fault from which an instance has run undisturbed, in seconds:
 #: an agent that has started learns the state of its zone within 3 s.
 SETTLE_TIME = 4.0
@@ -112,7 +125,7 @@
     """A fault of the plan.
 
     :param at: when it is injected, in seconds from the start of the plan
-    :param kind: one of ``ORDER_KINDS``
+    :param kind: one of ``STOP_KINDS``
     :param position: position of the affected machine among those that the kind
         can affect, from 0 to 1
     :param magnitude: number from 0 to 1 from which its kind derives how long
@@ -139,7 +152,7 @@
     end: float = float('inf')
 
 
-def draw_plan(seed, length, kinds=ORDER_KINDS):
+def draw_plan(seed, length, kinds=STOP_KINDS):
     """Return the faults of a seed, which depend only on the arguments."""
     random = Random(seed)
     at, plan = 0.0, []
@@ -349,6 +362,17 @@
         self.machines[name].kill()
         self.machines[name].start()
 
+    async def terminate_twice(self, name, magnitude):
+        self.machines[name].terminate()
+        await asyncio.sleep(0.5 * magnitude)
+        await self.terminate(name, magnitude)
+
+    async def terminate_paused(self, name, magnitude):
+        """Send SIGTERM to a machine that is paused."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.freeze(name, magnitude / 3))
+            group.create_task(self.terminate(name, magnitude))
+
     async def freeze(self, name, magnitude):
         processes = list(self.machines[name].processes.values())
         for process in processes:
@@ -732,7 +756,7 @@
             raise result
 
 
-def run_seed(seed, length, bounds, kinds=ORDER_KINDS):
+def run_seed(seed, length, bounds, kinds=STOP_KINDS):
     """Run one seed.
 
     :param length: time during which faults are injected, in seconds
@@ -768,7 +792,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seeds', default='0-4', help='first and last seed')
     parser.add_argument('--length', type=float, default=15.0)
-    parser.add_argument('--kinds', default='orders', choices=KINDS_BY_NAME)
+    parser.add_argument('--kinds', default='stops', choices=KINDS_BY_NAME)
     options = parser.parse_args()
     first, _, last = options.seeds.partition('-')
     failed = 0
--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -193,15 +193,15 @@
 def detect(what):
     """Return the violations that are found when one is simulated."""
     first, second = FakeTarget('s0'), FakeTarget('t0')
-    call = Call(1, 's', 0.0, 'answered', 's0')
+    call = Call(1, 5, 's', 0.0, 'answered', 's0')
     operator = read_version({'Version': 5}, 5)
-    caller = ('127.0.0.1', 1)
+    flow = 1, 5
     match what:
         case 'a call that ran at two targets':
-            first.ran, second.ran = [caller], [caller]
+            first.ran, second.ran = [flow], [flow]
             second.name = 's1'
         case 'a refused call that ran':
-            call.outcome, first.ran = 'refused', [caller]
+            call.outcome, first.ran = 'refused', [flow]
         case _ if what.startswith('a call that was reset'):
             call.outcome, call.sequence = 'broken', 7
             second.forgotten = FORGOTTEN[what]
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -5,6 +5,7 @@
 import asyncio
 from bisect import bisect_left
 from collections import Counter
+from collections import deque
 import json
 from random import Random
 
@@ -12,11 +13,13 @@
 from loopback import build_packet
 from loopback import HEADER
 from loopback import PacketTarget
+from loopback import SEQUENCE_COUNT
 from machines import EVACUATED_ZONE
 from tornado.httpclient import AsyncHTTPClient
 from tornado.httpclient import HTTPError
 
 ACK, FIN, RST, SYN = 4, 2, 128, 8
+REQUEST = b'request'
 CALLER_HOST = '127.0.9.1'
 #: Address of each service, to which callers send.
 SERVICE_ADDRESSES = {'s': ('198.18.0.1', 8443), 't': ('198.18.0.2', 9443)}
@@ -26,6 +29,15 @@
 #: Largest number of requests that a cold target may get in any second, with
 #: the default ``ColdOver`` and ``ColdSlack``.
 COLD_BOUND = COLD_PER_S * 1.5 + 5
+#: Share of the calls that use the port of an answered call again, and the
+#: shortest time after its answer, in seconds.
+REUSED_SHARE, REUSE_DELAY = 0.2, 0.3
+#: Lowest and highest difference between the initial sequence numbers of
+#: successive calls from a port.
+NUMBER_STEPS = (1 << 24, 1 << 25)
+#: Share of the answers that a target sends a second time, and the longest
+#: delay of the copy, in seconds.
+COPIED_SHARE, COPY_DELAY_MAX = 0.2, 1.0
 #: Time that a caller waits for a reply to each transmission of its opening
 #: packet or its request, in seconds. It gives up after the last one.
 RETRANSMIT_TIMEOUTS = (0.2, 0.4, 0.8)
@@ -64,6 +76,7 @@
     """A flow with one request.
 
     :param port: port of the caller
+    :param number: initial sequence number of the caller
     :param outcome: ``answered``; ``refused``, when the opening packet was
         answered with a reset; ``broken``, when the request was; ``silent``,
         when either got no reply; empty while the call runs
@@ -72,24 +85,30 @@
     """
 
     port: int
+    number: int
     service: str
     started_at: float
     outcome: str = ''
     answer: str = ''
     sequence: int = 0
 
+    def acknowledges(self, number):
+        """Return whether a target's packet belongs to the flow."""
+        difference = (number - self.number) % SEQUENCE_COUNT
+        return 0 < difference <= 1 + len(REQUEST)
+
 
 class Target(PacketTarget):
     """A target that answers a request after a random service time.
 
     ``opened_at`` holds the time at which each opening packet arrived,
-    ``first_opened_at`` the time of the first one of each caller's port,
+    ``first_opened_at`` the time of the first one of each flow,
     ``cold_until`` when it is no longer cold, in seconds of the loop's clock,
     ``held`` the packets that arrive while the target hangs, or ``None``,
-    ``served_as`` the name under which the target answered each caller, and
+    ``served_as`` the name under which the target answered each flow, and
     ``misrouted`` its name and the caller's port for each packet that was for
     another service, and ``forgotten`` the caller's port and its own number for
-    each flow that it has lost.
+    each flow that it has lost. A flow is the caller's port and number.
     """
 
     def __init__(self, name, outbound, random):
@@ -109,6 +128,7 @@
             (caller[1], number) for caller, number in self.flows.items()
         }
         self.flows.clear()
+        self.numbers.clear()
 
     def count_opened(self, begin, end):
         """Return the most new flows of any second of a time span."""
@@ -121,12 +141,27 @@
         )
 
     def answer(self, entry, caller, flags, acknowledged, data=b''):
-        if flags & FIN:
-            self.served_as[caller] = self.name
         super().answer(entry, caller, flags, acknowledged, data)
+        if flags & FIN:
+            self.served_as[caller[1], self.numbers[caller]] = self.name
+            if self.random.random() < COPIED_SHARE:
+                packet = build_packet(
+                    entry,
+                    caller,
+                    flags,
+                    self.flows[caller],
+                    acknowledged,
+                    data,
+                )
+                asyncio.get_running_loop().call_later(
+                    self.random.uniform(0.0, COPY_DELAY_MAX),
+                    self.transport.sendto,
+                    packet,
+                    self.outbound,
+                )
 
     def datagram_received(self, data, peer):
-        _, service_port, caller_port, _, _, flags, _, _, _, length, _ = (
+        _, service_port, caller_port, _, _, flags, _, seq, _, length, _ = (
             HEADER.unpack_from(data)
         )
         if service_port != SERVICE_ADDRESSES[self.name[0]][1]:
@@ -134,7 +169,7 @@
         if flags & SYN:
             now = asyncio.get_running_loop().time()
             self.opened_at.append(now)
-            self.first_opened_at.setdefault(caller_port, now)
+            self.first_opened_at.setdefault((caller_port, seq), now)
         if not flags & SYN and length:
             service_time = self.random.expovariate(50)
             later = asyncio.get_running_loop().call_later
@@ -168,15 +203,22 @@
         self.inboxes = {}
         self.calls = []
         self.port = 20_000
+        #: When the port of each answered call may be used again, the port
+        #: and the number of the call.
+        self.released = deque()
         self.loss = 0.0
 
     def connection_made(self, transport):
         self.transport = transport
 
     def datagram_received(self, data, _):
-        _, dport, _, _, _, flags, _, seq, _, _, _ = HEADER.unpack_from(data)
-        inbox = self.inboxes.get(dport)
-        if inbox is not None and not self.is_lost():
+        _, dport, _, _, _, flags, _, seq, ack, _, _ = HEADER.unpack_from(data)
+        call, inbox = self.inboxes.get(dport, (None, None))
+        if (
+            call is not None
+            and (flags & RST or call.acknowledges(ack))
+            and not self.is_lost()
+        ):
             inbox.put_nowait((flags, seq, data[HEADER.size :]))
 
     def is_lost(self):
@@ -196,17 +238,38 @@
         :param pause: time for which the flow is open before the request, in
             seconds, as those of a pool are
         """
-        self.port = self.port + 1 if self.port < 60_000 else 20_000
-        now = asyncio.get_running_loop().time()
-        call = Call(self.port, service, now)
+        loop = asyncio.get_running_loop()
+        call = Call(*self.choose_port(), service, loop.time())
         self.calls.append(call)
-        inbox = self.inboxes[call.port] = asyncio.Queue()
+        inbox = asyncio.Queue()
+        self.inboxes[call.port] = call, inbox
         try:
             await self.run_call(call, inbox, pause)
         finally:
             del self.inboxes[call.port]
+        if call.outcome == 'answered':
+            self.released.append(
+                (loop.time() + REUSE_DELAY, call.port, call.number)
+            )
         return call
 
+    def choose_port(self):
+        """Return port and initial sequence number of the next call.
+
+        The port is that of the call answered last, or an unused one.
+        """
+        random = self.soak.random
+        now = asyncio.get_running_loop().time()
+        released = None
+        while self.released and self.released[0][0] <= now:
+            released = self.released.popleft()
+        if released is not None and random.random() < REUSED_SHARE:
+            _, port, number = released
+            step = random.randint(*NUMBER_STEPS)
+            return port, (number + step) % SEQUENCE_COUNT
+        self.port = self.port + 1 if self.port < 60_000 else 20_000
+        return self.port, random.getrandbits(32)
+
     async def run_call(self, call, inbox, pause):
         """Do the handshake and the request of a call, and set its outcome."""
         source, entry = (
@@ -215,7 +278,9 @@
         )
         handshake_reply = await self.exchange(
             inbox,
-            lambda attempt: build_packet(source, entry, SYN, 7, attempt),
+            lambda attempt: build_packet(
+                source, entry, SYN, call.number, attempt
+            ),
             SYN | RST,
         )
         if handshake_reply is None:
@@ -227,11 +292,15 @@
             return
         call.sequence = seq
         if pause:
-            self.send(build_packet(source, entry, ACK, 8, seq + 1))
+            self.send(
+                build_packet(source, entry, ACK, call.number + 1, seq + 1)
+            )
             await asyncio.sleep(pause)
         answer = await self.exchange(
             inbox,
-            lambda _: build_packet(source, entry, ACK, 8, seq + 1, b'request'),
+            lambda _: build_packet(
+                source, entry, ACK, call.number + 1, seq + 1, REQUEST
+            ),
             FIN | RST,
         )
         if answer is None:
@@ -442,13 +511,11 @@
 
     Those that the operator has found are included.
     """
-    runs = Counter(
-        caller[1] for target in targets for caller in set(target.ran)
-    )
+    runs = Counter(flow for target in targets for flow in set(target.ran))
     served = {
-        caller[1]: name
+        flow: name
         for target in targets
-        for caller, name in target.served_as.items()
+        for flow, name in target.served_as.items()
     }
     forgotten = set().union(*(target.forgotten for target in targets))
     violations = list(operator.violations)
@@ -459,9 +526,10 @@
     ]
     for call in calls:
         name = f'call from {call.port} to {call.service}'
-        if runs[call.port] > 1:
-            violations.append(f'{name} ran at {runs[call.port]} targets')
-        if call.outcome == 'refused' and runs[call.port]:
+        flow = call.port, call.number
+        if runs[flow] > 1:
+            violations.append(f'{name} ran at {runs[flow]} targets')
+        if call.outcome == 'refused' and runs[flow]:
             violations.append(f'{name} was refused and yet ran at a target')
         gone = (call.port, call.sequence) in forgotten
         if call.outcome == 'broken' and not gone:
@@ -470,8 +538,6 @@
             violations.append(
                 f'{name} was answered by another service: {call.answer}'
             )
-        if served.get(call.port, call.service)[:1] != call.service:
-            violations.append(
-                f'{name} ran at another service: {served[call.port]}'
-            )
+        if served.get(flow, call.service)[:1] != call.service:
+            violations.append(f'{name} ran at another service: {served[flow]}')
     return violations
