End the tasks of a loopback platform that is closed

Cause: stopped roles leave tasks that read from nng sockets (LinkClient.discard_messages). The event loop was closed with these pending, and those that the garbage collector had not found earlier were finalized at the interpreter's exit, after nng had ended.

--- a/tests/platform/loopback.py
+++ b/tests/platform/loopback.py
@@ -373,10 +373,22 @@
         for name in list(self.supervisors):
             await self.stop(name)
 
+    async def cancel_tasks(self):
+        """Cancel the tasks that stopped roles have left.
+
+        Left to the interpreter's exit, a task that reads from an nng socket
+        would end the process with a panic of nng.
+        """
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def close(self):
         datagrams = [*self.targets.values(), self.caller]
         for protocol in filter(None, datagrams):
             protocol.transport.close()
         self.call(self.stop_all())
+        self.loop.run_until_complete(self.cancel_tasks())
         self.loop.close()
         shutil.rmtree(self.folder)
