Add a review case: seeds without a disk at the first start

Control processes with a disk exit about every 2 s and no configuration is accepted when all seeds are control instances without a disk.

--- a/review/lib-2/stage.py
+++ b/review/lib-2/stage.py
@@ -215,7 +215,7 @@
             'Zones': {zone: 'r' for zone in stage.zones},
             'Listen': listen,
             'InternalPorts': [stage.port + INTERNAL, stage.port + PORTS - 1],
-            'Seeds': [one.address(CONTROL) for one in stage.seeds],
+            'Seeds': [one.address(CONTROL) for one in stage.list_seeds()],
             'Bootstrap': self.bootstrap,
             'InTolerance': self.disk,
             'Limits': {
@@ -594,6 +594,8 @@
         self.tasks = []
         #: Machines that are added later.
         self.absent = []
+        #: Machines that Seeds names; chosen when there are none.
+        self.seeds = []
         self.running = True
         self.port = self.find_ports()
 
@@ -621,8 +623,10 @@
     def fronts(self):
         return [one for one in self.machines.values() if not one.service]
 
-    @property
-    def seeds(self):
+    def list_seeds(self):
+        """Return the machines that Seeds names at the first start."""
+        if self.seeds:
+            return self.seeds
         controls = [
             one
             for one in self.fronts
@@ -830,6 +834,29 @@
     }
 
 
+async def send_first(stage, document, seconds):
+    """Return when a configuration is acknowledged; ``None`` if never."""
+    body = json.dumps(document).encode()
+    begin = stage.record.now()
+    while stage.record.now() - begin < seconds:
+        for machine in stage.fronts:
+            status, answer = await fetch(
+                machine.host,
+                stage.port + CONTROL,
+                'POST',
+                '/Config.Put',
+                body,
+                1.0,
+            )
+            stage.record(
+                f'Config.Put to {machine.name}: {status} {answer[:80]!r}'
+            )
+            if status == 200:
+                return stage.record.now() - begin
+        await asyncio.sleep(0.3)
+    return None
+
+
 def run(case, folder, zones):
     """Run a case; exit with 1 if its rule was broken, 0 if not, 2 if not run.
 
