Let the instances in the settings nominate the one that bootstraps

Cause: only a named instance could bootstrap, the first by name of those with a disk. The set of those was empty, and min() of it ended the replica.

Change: the named instances, with a disk or without, nominate a candidate that has one and may have any address. Nominations are asked for in the order of the names and stay until the candidate withdraws or returns under a new identity.

Evidence: 4 of the 10 scenarios of bootstrap.feature failed before, with "ValueError: min() arg is an empty sequence"; all pass, as does one more on a candidate that loses its disk.

--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/membership_changes.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/membership_changes.py
@@ -6,10 +6,15 @@
 
 import attrs
 
+from .bootstrap import bootstrap
+from .bootstrap import is_candidate
+from .bootstrap import may_bootstrap
+from .bootstrap import nominate
+from .bootstrap import nominate_self
+from .bootstrap import record_nomination
 from .entries import EntryKind
 from .entries import Membership
 from .entries import parse_instance_name
-from .entries import Snapshot
 from .events import Retired
 from .events import Send
 from .messages import JoinRequest
@@ -40,10 +45,12 @@
     if _is_active_member(replica, now) or now < replica.join_at:
         return
     replica.join_at = now + replica.timing.heartbeat
-    if not replica.cluster and _may_bootstrap(replica):
-        _bootstrap(replica)
+    nominate_self(replica)
+    others = _other_instances(replica)
+    if may_bootstrap(replica, others):
+        bootstrap(replica)
         return
-    for instance in _other_instances(replica):
+    for instance in others:
         message = JoinRequest(
             replica.cluster,
             replica.identity,
@@ -51,6 +58,7 @@
             replica.hard_state.term,
             replica.is_durable,
             replica.join_number,
+            is_candidate(replica, instance),
         )
         replica.outbox.append(Send(instance, message))
 
@@ -61,6 +69,7 @@
     An instance that is not in the settings is recorded only with dynamic
     membership.
     """
+    nominate(replica, message)
     retired = message.sender in replica.membership.retired
     instance = parse_instance_name(message.sender)
     if replica.role is Role.LEADER:
@@ -78,9 +87,9 @@
         replica.hard_state.term,
         blank=not replica.cluster,
         retired=retired,
-        instances=tuple(map(parse_instance_name, replica.membership.members)),
-        durable=replica.is_durable,
+        instances=_list_founders_and_members(replica),
         number=message.number,
+        nominee=replica.nominee,
     )
     replica.outbox.append(Send(instance, response))
 
@@ -93,8 +102,7 @@
     instance = parse_instance_name(message.sender)
     if replica.dynamic_membership is not None:
         replica.discovered_instances.update(message.instances)
-    if not message.durable:
-        replica.diskless_instances.add(instance)
+    record_nomination(replica, message)
     if message.retired:
         replica.outbox.append(Retired())
     elif message.blank:
@@ -204,40 +212,22 @@
     return member and (has_leader or replica.role is Role.LEADER)
 
 
+def _list_founders_and_members(replica: Replica) -> tuple[str, ...]:
+    """Return the names of the nominee's instance and of all members."""
+    identities = (replica.nominee, *replica.membership.members)
+    return tuple(
+        dict.fromkeys(map(parse_instance_name, filter(None, identities)))
+    )
+
+
 def _other_instances(replica: Replica) -> tuple[str, ...]:
     own = parse_instance_name(replica.identity)
-    members = map(parse_instance_name, replica.membership.members)
+    members = _list_founders_and_members(replica)
     names = dict.fromkeys((*replica.instances, *members))
     discovered = sorted(replica.discovered_instances.difference(names))
     return tuple(name for name in (*names, *discovered) if name != own)
 
 
-def _may_bootstrap(replica: Replica) -> bool:
-    """Tell whether this replica is the one to bootstrap the cluster.
-
-    All other known instances must have reported that they belong to no
-    cluster. Of the instances in the settings that have a disk, only the one
-    whose name sorts first may bootstrap.
-    """
-    dynamic_membership = replica.dynamic_membership
-    if dynamic_membership is not None and not (
-        dynamic_membership.may_bootstrap and dynamic_membership.durable
-    ):
-        return False
-    if not replica.clusterless_instances.issuperset(_other_instances(replica)):
-        return False
-    eligible = set(replica.instances).difference(replica.diskless_instances)
-    return min(eligible) == parse_instance_name(replica.identity)
-
-
-def _bootstrap(replica: Replica) -> None:
-    membership = Membership(voters=(replica.identity,))
-    replica.cluster = replica.identity
-    replica.log.compact(Snapshot(membership=membership))
-    replica.dirty = True
-    replica.rewrite = True
-
-
 def _find_change(
     replica: Replica, membership: Membership, now: float
 ) -> Membership | None:
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/messages.py
@@ -152,10 +152,13 @@
     :param durable: whether the sender's journal survives a loss of power
     :param number: number that the response echoes; it changes whenever the
         sender hears from a leader
+    :param candidate: whether the sender asks the receiver to nominate it for
+        the bootstrap of a cluster
     """
 
     durable: bool = True
     number: int = 0
+    candidate: bool = False
 
 
 @attrs.frozen
@@ -165,16 +168,18 @@
     :param blank: whether the responder belongs to no cluster
     :param retired: whether the requester's identity is retired and never
         admitted again
-    :param instances: names of the instances that are members
-    :param durable: whether the responder's journal survives a loss of power
+    :param instances: names of the instances that are members, or may
+        bootstrap the cluster
     :param number: number of the request
+    :param nominee: identity that the responder has nominated for the
+        bootstrap of a cluster; empty when none
     """
 
     blank: bool
     retired: bool
     instances: tuple[str, ...] = ()
-    durable: bool = True
     number: int = 0
+    nominee: str = ''
 
 
 #: Codec of the messages between replicas; the numbers identify the classes.
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
@@ -164,10 +164,11 @@
         their journal survives a loss of power
     :param clusterless_instances: names of instances that reported that they
         belong to no cluster
-    :param diskless_instances: names of instances that reported that they have
-        no disk
+    :param nominee: identity that this replica has nominated for the bootstrap
+        of a cluster; empty when none
+    :param nominators: names of instances that have nominated this replica
     :param discovered_instances: names of instances that other replicas named
-        as members
+        as members or as their nominee
     :param join_number: number of the join requests since a leader was last
         heard
     :param lost_voters: voters whose instances have answered such a request
@@ -211,7 +212,8 @@
     confirmed_at: float = float('-inf')
     join_requests: dict[str, bool] = attrs.field(factory=dict)
     clusterless_instances: set[str] = attrs.field(factory=set)
-    diskless_instances: set[str] = attrs.field(factory=set)
+    nominee: str = ''
+    nominators: set[str] = attrs.field(factory=set)
     discovered_instances: set[str] = attrs.field(factory=set)
     join_number: int = 0
     lost_voters: set[str] = attrs.field(factory=set)
--- a/tests/core/consensus/virtual_cluster.py
+++ b/tests/core/consensus/virtual_cluster.py
@@ -71,6 +71,8 @@
     :param process: its running process; ``None`` when it is down
     :param failure: why its journal failed; empty when it didn't
     :param identity: its newest identity; empty before its first start
+    :param may_bootstrap: whether it may create a new cluster, if the cluster
+        allows it
     """
 
     name: str
@@ -81,6 +83,7 @@
     process: Process | None = None
     failure: str = ''
     identity: str = ''
+    may_bootstrap: bool = True
 
 
 @attrs.define(eq=False)
@@ -148,7 +151,9 @@
         dynamic_membership = None
         if self.tolerance is not None:
             dynamic_membership = DynamicMembership(
-                self.tolerance, self.may_bootstrap, name not in self.diskless
+                self.tolerance,
+                self.may_bootstrap and instance.may_bootstrap,
+                name not in self.diskless,
             )
         replica = create_replica(
             saved,
