Let instances with a disk vote once they have caught up, until they depart

Cause: exactly 2t + 1 instances voted. One that had caught up stayed a learner until a voter had been silent for 2 s, and a stopped process kept its vote, so that the second stop took the quorum away.

Change: every instance with a disk votes once it has caught up, up to 9 or 2t + 1; a voter that is gone is removed once 2t + 1 others vote; a process that is stopped asks the leader to do without its vote and waits until that is committed. Once a disk is known to be lost, an even number of voters needs one vote less, also during a change of the voters. A leader begins a change of the voters only if a quorum of the new ones responds.

--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/election.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/election.py
@@ -107,7 +107,7 @@
     if message.granted and message.term == replica.hard_state.term:
         replica.granted_votes.add(message.sender)
         if _has_quorum(replica):
-            become_leader(replica, now)
+            _take_over(replica, now)
 
 
 def _start_pre_vote(replica: Replica, now: float) -> None:
@@ -122,7 +122,17 @@
     set_hard_state(replica, replica.hard_state.term + 1, replica.identity)
     _request_votes(replica, VoteRequest, now)
     if _has_quorum(replica):
-        become_leader(replica, now)
+        _take_over(replica, now)
+
+
+def _take_over(replica: Replica, now: float) -> None:
+    """Become the leader, and note whether fewer than a quorum voted."""
+    replica.recovering = not all(
+        len(replica.granted_votes.intersection(voters))
+        >= compute_quorum(voters)
+        for voters in replica.membership.voter_sets
+    )
+    become_leader(replica, now)
 
 
 def _request_votes(
@@ -154,11 +164,26 @@
         return replica.granted_votes.issuperset(replica.surviving_voters)
     return all(
         len(replica.granted_votes.intersection(voters))
-        >= compute_quorum(voters)
+        >= _count_needed_votes(replica, voters)
         for voters in replica.membership.voter_sets
     )
 
 
+def _count_needed_votes(replica: Replica, voters: tuple[str, ...]) -> int:
+    """Return how many of some voters have to grant their votes.
+
+    That is a quorum. Where disks are known to be lost it may be fewer, since
+    nobody can be elected by these voters any more: those that vote must be
+    more than half of the others, and one of them must be in every quorum that
+    has accepted an entry.
+    """
+    quorum = compute_quorum(voters)
+    if replica.dynamic_membership is None:
+        return quorum
+    others = set(voters) - replica.lost_voters
+    return max(len(voters) - quorum + 1, len(others) // 2 + 1)
+
+
 def _is_up_to_date(
     replica: Replica, message: PreVoteRequest | VoteRequest
 ) -> bool:
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/events.py
@@ -60,7 +60,12 @@
     state: bytes
 
 
-Event = Tick | Received | Propose | Read | Compact
+@attrs.frozen
+class Leave:
+    """The process of this replica is about to stop."""
+
+
+Event = Tick | Received | Propose | Read | Compact | Leave
 
 
 @attrs.frozen
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/membership_changes.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/membership_changes.py
@@ -12,6 +12,8 @@
 from .bootstrap import nominate
 from .bootstrap import nominate_self
 from .bootstrap import record_nomination
+from .departure import list_departing
+from .entries import compute_quorum
 from .entries import EntryKind
 from .entries import Membership
 from .entries import parse_instance_name
@@ -138,13 +140,15 @@
     beside one of the new ones, so that no voter that survives can take an
     older membership for the newest.
     """
-    if replica.must_recover:
+    if replica.recovering:
         _drop_lost_voters(replica, now)
         return
     if not _may_change(replica) or replica.membership.former_voters:
         return
     new_membership = _find_change(replica, replica.membership, now)
-    if new_membership is not None:
+    if new_membership is not None and _is_supported(
+        replica, new_membership, now
+    ):
         _propose_membership(replica, new_membership, now)
 
 
@@ -162,6 +166,7 @@
         new_membership = attrs.evolve(membership, former_voters=())
         _propose_membership(replica, new_membership, now)
     else:
+        replica.departed = replica.leaving
         become_follower(replica, replica.hard_state.term, '', now)
 
 
@@ -179,6 +184,29 @@
     )
 
 
+def _is_supported(
+    replica: Replica, membership: Membership, now: float
+) -> bool:
+    """Tell whether a quorum of new voters has responded just now.
+
+    Otherwise the change could not be committed, and no other one before it.
+    """
+    if (
+        replica.dynamic_membership is None
+        or membership.voters == replica.membership.voters
+    ):
+        return True
+    since = now - 2 * replica.timing.heartbeat
+    responding = {
+        identity
+        for identity, progress in replica.progress.items()
+        if progress.last_response_at >= since
+    } | {replica.identity}
+    return len(responding.intersection(membership.voters)) >= compute_quorum(
+        membership.voters
+    )
+
+
 def _propose_membership(
     replica: Replica, membership: Membership, now: float
 ) -> None:
@@ -189,17 +217,24 @@
 def _drop_lost_voters(replica: Replica, now: float) -> None:
     """Let the surviving voters alone form the quorum.
 
-    A change of one voter at a time isn't possible: the quorum that would have
-    to accept it is lost. All surviving voters have elected this leader.
+    A change by joint consensus isn't possible: the quorum that would have to
+    accept it is lost. So many of the surviving voters have elected this leader
+    that no other one can be elected without them. When these were all, a
+    change of the voters in progress ends, too.
     """
     membership = replica.membership
     lost = tuple(replica.lost_voters.intersection(membership.all_voters))
+    voters = _exclude(membership.voters, lost)
+    former_voters = _exclude(membership.former_voters, lost)
+    if replica.must_recover:
+        voters, former_voters = replica.surviving_voters, ()
     new_membership = attrs.evolve(
         membership,
-        voters=replica.surviving_voters,
-        former_voters=(),
+        voters=voters,
+        former_voters=former_voters,
         retired=_retire(membership, lost),
     )
+    replica.recovering = False
     replica.lost_voters.clear()
     replica.superseded_voters.clear()
     _propose_membership(replica, new_membership, now)
@@ -234,7 +269,7 @@
     """Return the next membership; ``None`` when no change is due.
 
     Admissions come first, then promotions of learners and, with dynamic
-    membership, removals of learners.
+    membership, removals of voters and of learners.
     """
     for joiner in tuple(replica.join_requests):
         durable = replica.join_requests.pop(joiner)
@@ -252,7 +287,37 @@
                 return promoted
     if replica.dynamic_membership is None:
         return None
-    return _remove_expired(replica, membership, now)
+    return _remove_voters(replica, membership, now) or _remove_expired(
+        replica, membership, now
+    )
+
+
+def _remove_voters(
+    replica: Replica, membership: Membership, now: float
+) -> Membership | None:
+    """Remove the voters that are gone and not needed for the tolerance.
+
+    Their identities are not retired: they can join again.
+    """
+    assert replica.dynamic_membership is not None
+    surplus = len(membership.voters) - replica.dynamic_membership.voters
+    removed = _list_gone_voters(replica, now)[: max(0, surplus)]
+    if not removed:
+        return None
+    return attrs.evolve(
+        membership,
+        voters=_exclude(membership.voters, removed),
+        former_voters=membership.voters,
+    )
+
+
+def _list_gone_voters(replica: Replica, now: float) -> tuple[str, ...]:
+    """Return the voters that do not respond or are about to stop."""
+    unresponsive = _list_unresponsive(
+        replica, replica.membership.voters, replica.timing.election_max, now
+    )
+    departing = list_departing(replica, now)
+    return tuple(dict.fromkeys(unresponsive + departing))
 
 
 def _remove_expired(
@@ -327,17 +392,20 @@
     """Return the membership in which a learner votes; ``None`` if it can't.
 
     It replaces the former identity of its instance. When there is none, it is
-    added, or replaces an unresponsive voter when there are enough voters. The
+    added, or replaces a voter that is gone when there are enough voters. The
     identity of that one is not retired, because its disk may be intact: when
     it is back, it can join again as a learner and catch up.
     """
     former = _find_predecessors(membership.voters, learner)
     replaced = former
-    if not former and _has_enough_voters(replica, membership):
-        replaced = _list_unresponsive(
-            replica, membership.voters, replica.timing.election_max, now
-        )[:1]
-        if not replaced:
+    dynamic_membership = replica.dynamic_membership
+    if not former and dynamic_membership is not None:
+        if len(membership.voters) >= dynamic_membership.voters:
+            replaced = _list_gone_voters(replica, now)[:1]
+        if (
+            not replaced
+            and len(membership.voters) >= dynamic_membership.voters_max
+        ):
             return None
     return attrs.evolve(
         membership,
@@ -348,14 +416,6 @@
     )
 
 
-def _has_enough_voters(replica: Replica, membership: Membership) -> bool:
-    dynamic_membership = replica.dynamic_membership
-    return (
-        dynamic_membership is not None
-        and len(membership.voters) >= dynamic_membership.voters
-    )
-
-
 def _retire(
     membership: Membership, identities: tuple[str, ...]
 ) -> tuple[str, ...]:
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/messages.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/messages.py
@@ -182,6 +182,19 @@
     nominee: str = ''
 
 
+@attrs.frozen
+class LeaveRequest(Message):
+    """Request of a voter, to the leader, to vote no more.
+
+    Sent by a voter whose process is about to stop.
+    """
+
+
+@attrs.frozen
+class LeaveResponse(Message):
+    """Response to :class:`LeaveRequest`, once the removal is committed."""
+
+
 #: Codec of the messages between replicas; the numbers identify the classes.
 CONSENSUS_CODEC = Codec(
     {
@@ -196,5 +209,7 @@
         9: ReadIndexResponse,
         10: JoinRequest,
         11: JoinResponse,
+        12: LeaveRequest,
+        13: LeaveResponse,
     }
 )
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/raft.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/raft.py
@@ -4,6 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from .departure import leave
+from .departure import receive_leave
+from .departure import receive_leave_response
+from .departure import request_departure
 from .election import check_election_timeout
 from .election import receive_pre_vote
 from .election import receive_pre_vote_response
@@ -11,6 +15,7 @@
 from .election import receive_vote_response
 from .entries import parse_instance_name
 from .events import Compact
+from .events import Leave
 from .events import Propose
 from .events import Read
 from .events import Received
@@ -25,6 +30,8 @@
 from .messages import InstallSnapshot
 from .messages import JoinRequest
 from .messages import JoinResponse
+from .messages import LeaveRequest
+from .messages import LeaveResponse
 from .messages import PreVoteRequest
 from .messages import PreVoteResponse
 from .messages import ReadIndex
@@ -75,6 +82,8 @@
             read(replica, event, now)
         case Compact():
             compact(replica, event)
+        case Leave():
+            leave(replica, now)
     if replica.role is Role.LEADER:
         complete_change(replica, now)
         confirm_reads(replica)
@@ -83,7 +92,10 @@
 
 
 def _tick(replica: Replica, now: float) -> None:
-    join_or_bootstrap(replica, now)
+    if replica.leaving:
+        request_departure(replica, now)
+    else:
+        join_or_bootstrap(replica, now)
     if replica.role is not Role.LEADER:
         check_election_timeout(replica, now)
     if replica.role is not Role.LEADER:
@@ -143,10 +155,24 @@
             receive_read_index(replica, message, now)
         case ReadIndexResponse():
             receive_read_index_response(replica, message)
+        case JoinRequest() | JoinResponse() | LeaveRequest() | LeaveResponse():
+            _receive_membership_message(replica, message, now)
+
+
+def _receive_membership_message(
+    replica: Replica,
+    message: JoinRequest | JoinResponse | LeaveRequest | LeaveResponse,
+    now: float,
+) -> None:
+    match message:
         case JoinRequest():
             receive_join(replica, message)
         case JoinResponse():
             receive_join_response(replica, message)
+        case LeaveRequest():
+            receive_leave(replica, message, now)
+        case LeaveResponse():
+            receive_leave_response(replica)
 
 
 def _receive_replication(
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/replica.py
@@ -32,6 +32,11 @@
 FIRST_NUMBER_BITS = 48
 
 
+#: Largest number of voters, unless the tolerance needs more: a change waits
+#: for more than half of them.
+VOTERS_MAX = 9
+
+
 class Role(enum.Enum):
     """Role of a replica in its term."""
 
@@ -76,9 +81,14 @@
 
     @property
     def voters(self) -> int:
-        """Number of voters of the cluster; further members are learners."""
+        """Number of voters that bear the tolerated losses."""
         return 2 * self.tolerance + 1
 
+    @property
+    def voters_max(self) -> int:
+        """Largest number of voters; further members are learners."""
+        return max(self.voters, VOTERS_MAX)
+
 
 @attrs.define
 class Progress:
@@ -175,6 +185,13 @@
         under a new identity, so that their disks are known to be lost
     :param superseded_voters: those whose new identity is a committed member:
         they hold no vote in anything that was accepted after its admission
+    :param recovering: as leader, whether it was elected by fewer voters than a
+        quorum, since the disks of others are lost
+    :param leaving: whether the process of this replica is about to stop
+    :param departed: whether its vote is known not to be needed any more
+    :param leave_at: time when the next request to leave may be sent
+    :param departures: as leader, the time of the last request of each voter
+        to leave
     :param unsaved: entries for the next :class:`Persist`
     :param dirty: whether anything has changed that must be made durable
     :param rewrite: whether the journal must be written as a whole again
@@ -218,6 +235,11 @@
     join_number: int = 0
     lost_voters: set[str] = attrs.field(factory=set)
     superseded_voters: set[str] = attrs.field(factory=set)
+    recovering: bool = False
+    leaving: bool = False
+    departed: bool = False
+    leave_at: float = float('-inf')
+    departures: dict[str, float] = attrs.field(factory=dict)
     dynamic_membership: DynamicMembership | None = None
     unsaved: tuple[Entry, ...] = ()
     dirty: bool = False
@@ -420,6 +442,8 @@
     replica.round_start_times.clear()
     replica.pending_reads.clear()
     replica.join_requests.clear()
+    replica.departures.clear()
+    replica.recovering = False
 
 
 def collect_actions(replica: Replica) -> tuple[Action, ...]:
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/control/replicator.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from pistachiohook_core.consensus.departure import is_departing
 from pistachiohook_core.consensus.entries import EntryKind
 from pistachiohook_core.consensus.entries import make_identity
 from pistachiohook_core.consensus.entries import parse_instance_name
@@ -16,6 +17,7 @@
 from pistachiohook_core.consensus.events import Appended
 from pistachiohook_core.consensus.events import Apply
 from pistachiohook_core.consensus.events import Compact
+from pistachiohook_core.consensus.events import Leave
 from pistachiohook_core.consensus.events import Persist
 from pistachiohook_core.consensus.events import Propose
 from pistachiohook_core.consensus.events import Read
@@ -239,6 +241,22 @@
         event = Read(self._last_request)
         return await self._submit('read', event, REFUSED)
 
+    async def leave(self, timeout: float) -> None:
+        """Let the others go on without the vote of this instance.
+
+        Returns once it votes no more, at once when they need its vote, and
+        after the timeout in any case. Only a stop of the process may follow.
+
+        :param timeout: longest wait, in seconds
+        """
+        if self._replica is None or not self._runs:
+            return
+        with suppress(asyncio.QueueFull, TimeoutError):
+            self._event_queue.put_nowait(Leave())
+            async with asyncio.timeout(timeout):
+                while self._runs and is_departing(self._replica):
+                    await asyncio.sleep(TICK_INTERVAL)
+
     async def run(self) -> None:
         """Load the journal and run the replica until cancelled.
 
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -82,6 +82,11 @@
 #: retries, and time to send the answer.
 CALLS_TIMEOUT = PROPOSE_RETRY_DURATION + ANSWER_TIMEOUT + 0.3
 
+#: Share of the longest duration of a shutdown after which an instance waits no
+#: more until the others can do without its vote: they may have to elect a
+#: leader first.
+LEAVE_SHARE = 0.8
+
 #: Largest age of a quorum confirmation that a message states, in seconds; it
 #: stands for all larger ones, because nodes use only recent confirmations.
 REPORTED_AGE_MAX = 3600.0
@@ -118,15 +123,20 @@
         return Health(bool(leader), f'leader {leader or "not known"}')
 
     async def shut_down(self) -> None:
-        """Accept no more calls, and answer those in progress.
+        """Accept no more calls, answer those in progress, and vote no more.
 
         An operator whose call was cut off would not know its outcome. The
-        wait is limited to half of the longest duration of a shutdown.
+        wait is limited to half of the longest duration of a shutdown. The
+        instance may be removed for good: if its vote went on to count, two
+        such stops shortly after each other could leave no quorum.
         """
-        timeout = min(CALLS_TIMEOUT, self.settings.node.grace / 2)
+        began = read_clock()
+        grace = self.settings.node.grace
+        timeout = min(CALLS_TIMEOUT, grace / 2)
         await asyncio.gather(
             *(server.finish(timeout) for server in self.servers)
         )
+        await self.replicator.leave(began + LEAVE_SHARE * grace - read_clock())
 
     async def replace_routes(
         self, routes: RouteSet, document: bytes
--- /dev/null
+++ b/tests/core/consensus/membership_schedule.py
@@ -0,0 +1,373 @@
+"""Random schedules of the losses, removals and additions that are allowed."""
+
+from __future__ import annotations
+
+from random import Random
+from string import ascii_lowercase
+
+import attrs
+from pistachiohook_core.consensus.entries import compute_quorum
+from pistachiohook_core.consensus.entries import parse_instance_name
+from virtual_cluster import Cluster
+from virtual_cluster import STEP
+
+#: Time after which an instance that is back, or new, is no longer lost, in
+#: seconds.
+CATCH_UP = 4.0
+
+#: Time after which all instances vote that should, and no others, in seconds.
+SETTLING = 8.0
+
+#: Age of the instances in the settings of a process, in seconds.
+SEED_LAG = 3.0
+
+#: Time within which a change is accepted while no instance is lost, in
+#: seconds.
+ACCEPTANCE = 8.0
+
+#: Most instances with a disk at the same time.
+DISKS_MAX = 8
+
+
+@attrs.define
+class Schedule:
+    """A cluster, and what its instances count for by the documented rule.
+
+    :param random: source of all random choices
+    :param tolerance: instances that may be lost at the same time
+    :param cluster: the cluster
+    :param disks: instances with a disk that are in service, and when each of
+        them counts
+    :param diskless: running instances without a disk
+    :param successors: new instances that have replaced none yet
+    :param lost_until: time until which an instance counts as lost
+    :param returns: what ends a loss, by its time
+    :param steps: what was done, for messages
+    """
+
+    random: Random
+    tolerance: int
+    cluster: Cluster
+    disks: dict[str, float] = attrs.field(factory=dict)
+    diskless: list[str] = attrs.field(factory=list)
+    successors: list[str] = attrs.field(factory=list)
+    lost_until: dict[str, float] = attrs.field(factory=dict)
+    returns: list[tuple[float, str]] = attrs.field(factory=list)
+    steps: list[str] = attrs.field(factory=list)
+
+    def note(self, text: str) -> None:
+        self.steps.append(f'{self.cluster.now - 100:.2f} {text}')
+
+    def run(self, seconds: float) -> None:
+        """Let time pass; losses end in time, and changes are proposed."""
+        end = self.cluster.now + seconds
+        while self.cluster.now < end:
+            self.cluster.run(STEP)
+            for entry in [
+                one for one in self.returns if one[0] <= self.cluster.now
+            ]:
+                self.returns.remove(entry)
+                self.end_loss(entry[1])
+            if self.random.random() < 0.1:
+                leader = self.cluster.find_leader()
+                if leader:
+                    self.cluster.propose(leader)
+
+    # What counts
+
+    def list_lost(self) -> list[str]:
+        return [
+            name
+            for name, until in self.lost_until.items()
+            if name in self.disks and until > self.cluster.now
+        ]
+
+    def list_calm(self) -> list[str]:
+        """Return the instances with a disk that are not lost."""
+        lost = self.list_lost()
+        return [
+            name
+            for name, since in self.disks.items()
+            if name not in lost and since <= self.cluster.now
+        ]
+
+    def is_recoverable(self, gone: str = '', wiped: str = '') -> bool:
+        """Tell whether the voters can go on after a further loss for good.
+
+        :param gone: instance that would be removed without notice
+        :param wiped: instance whose disk would be lost
+        """
+        instances = self.cluster.instances
+        present = {
+            name: instances[name].identity
+            for name in self.disks
+            if name != gone
+        }
+        surviving = {
+            identity for name, identity in present.items() if name != wiped
+        }
+        return all(
+            _has_quorum(voters, set(voters) & surviving, set(present))
+            for voters in self.list_voter_sets()
+        )
+
+    def list_voter_sets(self) -> list[tuple[str, ...]]:
+        """Return the voters, and those of all changes in progress."""
+        memberships = [
+            instance.process.replica.membership
+            for instance in self.cluster.instances.values()
+            if instance.process is not None
+        ]
+        return [
+            voters
+            for membership in memberships
+            for voters in membership.voter_sets
+            if voters
+        ]
+
+    def is_settled(self) -> bool:
+        """Tell whether all vote, and more than the tolerance needs."""
+        identities = {
+            self.cluster.instances[name].identity for name in self.disks
+        }
+        return (
+            not self.list_lost()
+            and bool(self.cluster.find_leader())
+            and self.cluster.voters() == identities
+            and len(identities) > 2 * self.tolerance + 1
+        )
+
+    def may_lose(self) -> bool:
+        return len(self.list_lost()) < self.tolerance
+
+    # Actions
+
+    def start(self, name: str) -> None:
+        """Start a process with the settings of some seconds ago."""
+        running = [
+            other
+            for other, instance in self.cluster.instances.items()
+            if instance.process is not None and other != name
+        ]
+        if len(running) >= 3:
+            self.cluster.seeds = tuple(sorted(self.random.sample(running, 3)))
+        self.cluster.start(name)
+
+    def find_spare(self) -> str:
+        return next(
+            name
+            for name in self.cluster.names
+            if not self.cluster.instances[name].identity_count
+        )
+
+    def add(self) -> None:
+        if len(self.disks) >= DISKS_MAX:
+            return
+        name = self.find_spare()
+        self.note(f'add {name}')
+        self.start(name)
+        self.disks[name] = self.cluster.now + CATCH_UP
+        self.successors.append(name)
+
+    def add_diskless(self) -> None:
+        name = self.find_spare()
+        self.note(f'add {name} without a disk')
+        self.cluster.diskless += name
+        self.start(name)
+        self.diskless.append(name)
+
+    def restart_diskless(self) -> None:
+        if self.diskless:
+            name = self.random.choice(self.diskless)
+            self.note(f'restart {name}, which has no disk')
+            self.cluster.lose_disk(name)
+            self.start(name)
+
+    def remove(self, notice: bool) -> None:
+        """Remove an instance for which a new one has run long enough."""
+        ready = [name for name in self.successors if name in self.list_calm()]
+        calm = [name for name in self.list_calm() if name not in ready[:1]]
+        if not ready or not calm:
+            return
+        name = self.random.choice(calm)
+        if not notice and not self.is_recoverable(gone=name):
+            return
+        self.note(f'remove {name}' + (' with notice' if notice else ''))
+        settled = self.is_settled()
+        departed = notice and self.cluster.stop(name)
+        if notice and not departed:
+            assert not settled, f'{name} has not departed: {self.steps}'
+            if not self.is_recoverable(gone=name):
+                self.note('give up, since it has not departed')
+                self.start(name)
+                return
+        self.successors.remove(ready[0])
+        self.cluster.lose_disk(name)
+        del self.disks[name]
+        if name in self.successors:
+            self.successors.remove(name)
+
+    def lose(self, kind: str) -> None:
+        """Kill, wipe or cut off an instance; it is back after some time."""
+        calm = self.list_calm()
+        if not calm or not self.may_lose():
+            return
+        name = self.random.choice(calm)
+        if kind == 'wipe' and not self.is_recoverable(wiped=name):
+            return
+        seconds = self.random.uniform(0.3, 6.0)
+        self.note(f'{kind} {name} for {seconds:.2f} s')
+        if kind == 'kill':
+            self.cluster.kill(name)
+        elif kind == 'wipe':
+            self.cluster.lose_disk(name)
+        else:
+            self.cluster.split(name)
+        back = self.cluster.now + seconds
+        self.lost_until[name] = back + CATCH_UP
+        self.returns.append((back, name))
+
+    def replace_several(self) -> None:
+        """Add instances, remove as many later, and lose one more."""
+        number = self.random.randint(1, 2)
+        for _ in range(number):
+            self.add()
+        self.run(CATCH_UP + 1.0)
+        for _ in range(number):
+            self.remove(notice=self.random.random() < 0.6)
+            self.run(self.random.choice((0.0, 0.5, 1.0)))
+        self.lose(self.random.choice(('kill', 'cut', 'wipe', 'wipe')))
+
+    def end_loss(self, name: str) -> None:
+        self.cluster.cut_links = {
+            link for link in self.cluster.cut_links if name not in link
+        }
+        if self.cluster.instances[name].process is None:
+            self.start(name)
+
+    def stop_in_turn(self) -> None:
+        """Stop and start all instances, one after the other, as planned."""
+        if self.list_lost() or not self.tolerance:
+            return
+        self.note('stop all in turn')
+        for name in self.list_calm():
+            self.cluster.stop(name)
+            seconds = self.random.uniform(0.3, 2.0)
+            self.lost_until[name] = self.cluster.now + seconds + CATCH_UP
+            self.run(seconds)
+            self.start(name)
+            self.run(CATCH_UP)
+
+    def kill_all(self) -> None:
+        self.note('kill all')
+        running = [
+            name
+            for name in (*self.disks, *self.diskless)
+            if self.cluster.instances[name].process is not None
+        ]
+        self.cluster.in_flight.clear()
+        for name in running:
+            if name in self.diskless:
+                self.cluster.lose_disk(name)
+            else:
+                self.cluster.kill(name)
+        self.random.shuffle(running)
+        for name in running:
+            self.cluster.run(self.random.uniform(0, 0.8 / len(running)))
+            self.start(name)
+
+    def play(self, steps: int) -> None:
+        """Do something allowed, several times, and check in between."""
+        actions = [
+            self.add,
+            self.replace_several,
+            self.replace_several,
+            self.replace_several,
+            lambda: self.remove(notice=True),
+            lambda: self.remove(notice=False),
+            lambda: self.lose('kill'),
+            lambda: self.lose('cut'),
+            lambda: self.lose('wipe'),
+            self.stop_in_turn,
+            self.kill_all,
+            self.add_diskless,
+            self.restart_diskless,
+        ]
+        for _ in range(steps):
+            self.random.choice(actions)()
+            self.run(self.random.choice((0.0, 0.2, 1.0, 2.5, 5.0)))
+            if not self.list_lost() and self.random.random() < 0.3:
+                self.check_acceptance()
+        while self.returns or self.list_lost():
+            self.run(0.5)
+        self.check_acceptance()
+        self.check_end()
+
+    # Checks
+
+    def check_acceptance(self) -> None:
+        self.note('check')
+        end = self.cluster.now + ACCEPTANCE
+        while self.cluster.now < end:
+            leader = self.cluster.find_leader()
+            if leader:
+                number = self.cluster.propose(leader)
+                self.run(0.5)
+                if number in self.cluster.accepted:
+                    return
+            else:
+                self.run(0.2)
+        raise AssertionError(f'no change is accepted: {self.steps}')
+
+    def check_end(self) -> None:
+        """Check who votes, and that nothing accepted is missing anywhere."""
+        cluster = self.cluster
+        cluster.run(SETTLING)
+        cluster.check()
+        identities = {cluster.instances[name].identity for name in self.disks}
+        assert cluster.voters() == identities, (cluster.voters(), self.steps)
+        for name in (*self.disks, *self.diskless):
+            held = {int(command) for command in cluster.commands(name)}
+            missing = set(cluster.accepted) - held
+            assert not missing, (name, missing, self.steps)
+
+
+def _has_quorum(
+    voters: tuple[str, ...], surviving: set[str], present: set[str]
+) -> bool:
+    """Tell whether the survivors of some voters can elect a leader.
+
+    :param voters: identities that vote
+    :param surviving: those whose disks are not lost
+    :param present: names of all instances in service
+    """
+    lost = [
+        voter
+        for voter in voters
+        if voter not in surviving and parse_instance_name(voter) in present
+    ]
+    quorum = compute_quorum(voters)
+    needed = max(len(voters) - quorum + 1, (len(voters) - len(lost)) // 2 + 1)
+    return len(surviving) >= needed
+
+
+def play_schedule(seed: int, steps: int = 10) -> Schedule:
+    """Play the schedule of a seed, and check it.
+
+    :raises AssertionError: when a change is lost or none is accepted
+    """
+    random = Random(seed)
+    tolerance = random.choice((1, 1, 2))
+    size = random.randint(2 * tolerance + 1, 2 * tolerance + 3)
+    cluster = Cluster(
+        tuple(ascii_lowercase), seed, seeds=tuple('abc'), tolerance=tolerance
+    )
+    schedule = Schedule(random, tolerance, cluster)
+    for name in ascii_lowercase[:size]:
+        cluster.start(name)
+        schedule.disks[name] = cluster.now
+    schedule.check_acceptance()
+    cluster.run(2.0)
+    cluster.may_bootstrap = False
+    schedule.play(steps)
+    return schedule
--- a/tests/core/consensus/virtual_cluster.py
+++ b/tests/core/consensus/virtual_cluster.py
@@ -6,12 +6,14 @@
 
 import attrs
 import msgspec
+from pistachiohook_core.consensus.departure import is_departing
 from pistachiohook_core.consensus.entries import EntryKind
 from pistachiohook_core.consensus.entries import make_identity
 from pistachiohook_core.consensus.entries import SavedState
 from pistachiohook_core.consensus.events import Appended
 from pistachiohook_core.consensus.events import Apply
 from pistachiohook_core.consensus.events import Compact
+from pistachiohook_core.consensus.events import Leave
 from pistachiohook_core.consensus.events import Persist
 from pistachiohook_core.consensus.events import Propose
 from pistachiohook_core.consensus.events import Read
@@ -42,6 +44,10 @@
 #: Time between two ticks, in seconds.
 STEP = 0.05
 
+#: Longest time for which a process that is stopped waits for its departure,
+#: in seconds.
+LEAVE_TIMEOUT = 4.0
+
 
 @attrs.define(eq=False)
 class Process:
@@ -193,6 +199,19 @@
         instance.process = None
         instance.disk.crash(names_kept, kept, empty_sectors)
 
+    def stop(self, name: str) -> bool:
+        """Stop a process as planned.
+
+        :returns: whether its vote did not count any more before its end
+        """
+        self.feed(name, Leave())
+        replica = self.instances[name].process.replica
+        end = self.now + LEAVE_TIMEOUT
+        while self.now < end and is_departing(replica):
+            self.run(STEP)
+        self.kill(name)
+        return replica.departed
+
     def lose_disk(self, name: str) -> None:
         self.instances[name].process = None
         self.instances[name].identity = ''
