Accept a route set only if the function that balancers apply it with can load it

Cause: the check of a port converted its first six digits, the conversion all of them. Nothing checked the address after that until balancers packed it, outside the part of their fetch that survives errors.

Change: a port is converted once and its range checked on the result. The new load_routes decodes, checks and indexes an encoded route set: control accepts only what it loads from the bytes to replicate, and balancers apply its result. A balancer that gets routes that can't be applied keeps its own, logs event 2109, asks up to three control instances, serves on, and tries again after 5 s.

--- a/packages/pistachiohook-core/src/pistachiohook_core/addresses.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/addresses.py
@@ -42,8 +42,9 @@
     :param text: text from a settings file or a command line
     :returns: the address, or a failure that quotes the text
     """
-    host, colon, port = text.rpartition(':')
-    if not colon or not _is_ipv4_address(host) or not _is_port(port):
+    host, colon, digits = text.rpartition(':')
+    port = _parse_port(digits)
+    if not colon or not _is_ipv4_address(host) or port is None:
         return Failed(
             Failure(
                 step='read address',
@@ -52,12 +53,18 @@
                 ' such as 127.0.0.1:443',
             )
         )
-    return Success(Address(host, int(port)))
+    return Success(Address(host, port))
 
 
 def pack_address(address: Address) -> bytes:
-    """Encode an address in :data:`PACKED_LENGTH` bytes."""
-    return _PACKED.pack(*map(int, address.host.split('.')), address.port)
+    """Encode an address in :data:`PACKED_LENGTH` bytes.
+
+    :raises ValueError: when it is not an IPv4 address and a port
+    """
+    try:
+        return _PACKED.pack(*map(int, address.host.split('.')), address.port)
+    except struct.error as error:
+        raise ValueError(f'{address} is not an address: {error}') from error
 
 
 def unpack_address(packed: bytes) -> Address:
@@ -77,5 +84,13 @@
     return True
 
 
-def _is_port(port: str) -> bool:
-    return port.isascii() and port.isdigit() and 0 <= int(port[:6]) <= PORT_MAX
+def _parse_port(digits: str) -> int | None:
+    """Return the port that all digits together name, if there is one."""
+    if not (digits.isascii() and digits.isdigit()):
+        return None
+    # int() refuses numbers with thousands of digits.
+    significant = digits.lstrip('0') or '0'
+    if len(significant) > len(str(PORT_MAX)):
+        return None
+    port = int(significant)
+    return port if port <= PORT_MAX else None
--- a/packages/pistachiohook-core/src/pistachiohook_core/events.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/events.py
@@ -110,6 +110,13 @@
     'Routes could not be fetched from a control instance; another is tried.',
     'Check the control instance that is named as peer.',
 )
+ROUTES_UNUSABLE = Event(
+    2109,
+    Level.ERROR,
+    'Routes can not be applied; those that are applied stay.',
+    'Send the configuration again under a higher version, and report the'
+    ' reason: control should have refused it.',
+)
 FLOW_ABANDONED = Event(
     2107,
     Level.WARNING,
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/commands.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/commands.py
@@ -6,9 +6,16 @@
 
 import attrs
 import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result
+from returns.result import Success
 
 from ..codec import Codec
+from ..failures import Failure
+from .routes import build_table
+from .routes import check_routes
 from .routes import RouteSet
+from .routes import RouteTable
 
 #: Level of zlib compression of replicated route sets. They are repetitive, so
 #: that even the fastest level reduces them to a tenth.
@@ -206,3 +213,22 @@
         return msgspec.msgpack.decode(content, type=RouteSet)
     except (zlib.error, msgspec.MsgspecError) as error:
         raise ValueError(f'not a route set: {error}') from error
+
+
+def load_routes(packed: bytes) -> Result[RouteTable, Failure]:
+    """Decode, check and index a route set that :func:`pack_routes` encoded.
+
+    Control accepts a route set only if this succeeds, and balancers apply what
+    it returns, so that whatever is accepted can be applied.
+
+    :param packed: the encoded set
+    :returns: its table; or the first failure when it can't be applied
+    """
+    try:
+        routes = unpack_routes(packed)
+        failures = check_routes(routes)
+        if failures:
+            return Failed(failures[0])
+        return Success(build_table(routes))
+    except ValueError as error:
+        return Failed(Failure('load routes', 'route set', str(error)))
--- a/packages/pistachiohook-core/src/pistachiohook_core/passthrough/routes.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/passthrough/routes.py
@@ -112,7 +112,10 @@
 
 
 def build_table(routes: RouteSet) -> RouteTable:
-    """Return the table of a route set that has passed its check."""
+    """Return the table of a route set that has passed its check.
+
+    :raises ValueError: when an entry is not an address and a port
+    """
     return RouteTable(
         routes.version,
         {pack_address(route.entry): route for route in routes.routes},
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/balancer.py
@@ -14,11 +14,12 @@
 from pistachiohook_core.addresses import parse_address
 from pistachiohook_core.events import ROUTES_CHANGED
 from pistachiohook_core.events import ROUTES_UNREADABLE
+from pistachiohook_core.events import ROUTES_UNUSABLE
 from pistachiohook_core.passthrough.actions import Log
 from pistachiohook_core.passthrough.actions import ResetCaller
 from pistachiohook_core.passthrough.actions import Send
 from pistachiohook_core.passthrough.balancer import Balancer
-from pistachiohook_core.passthrough.commands import unpack_routes
+from pistachiohook_core.passthrough.commands import load_routes
 from pistachiohook_core.passthrough.discovery import BALANCER
 from pistachiohook_core.passthrough.discovery import Finder
 from pistachiohook_core.passthrough.egress import EgressQueue
@@ -26,7 +27,6 @@
 from pistachiohook_core.passthrough.explanation import NO_ROUTES
 from pistachiohook_core.passthrough.messages import Node
 from pistachiohook_core.passthrough.messages import Welcome
-from pistachiohook_core.passthrough.routes import build_table
 from pistachiohook_core.passthrough.segments import read_flow
 from pistachiohook_core.passthrough.segments import write_host
 from returns.result import Failure as Failed
@@ -45,8 +45,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from pistachiohook_core.failures import Failure
     from pistachiohook_core.metrics import Metrics
     from pistachiohook_core.passthrough.actions import Action
+    from pistachiohook_core.passthrough.routes import RouteTable
     from pistachiohook_core.passthrough.segments import SegmentFormat
 
     from ..logs import Report
@@ -72,6 +74,14 @@
 #: time in which new routes must be applied.
 BEHIND_MAX = 1.5
 
+#: Control instances that are asked for a version of the routes that can't be
+#: applied.
+UNUSABLE_ANSWERS_MAX = 3
+
+#: Time after which such a version is fetched again, in seconds: what a control
+#: instance sends may change with an update of it.
+UNUSABLE_RETRY_INTERVAL = 5.0
+
 #: Interval at which idle flows and agents that have stopped reporting are
 #: removed, in seconds.
 EXPIRE_INTERVAL = 1.0
@@ -93,6 +103,21 @@
 AGE_MAX_MS = 60_000
 
 
+@attrs.define
+class UnusableRoutes:
+    """A version of the routes that can't be applied.
+
+    :param version: the version; 0 when there is none
+    :param sources: addresses that have sent it
+    :param given_up_at: time when no further instance was asked for it, in
+        seconds; ``None`` until then
+    """
+
+    version: int = 0
+    sources: set[str] = attrs.field(factory=set)
+    given_up_at: float | None = None
+
+
 @attrs.define
 class BalancerRole:
     """State of a running balancer.
@@ -107,6 +132,7 @@
     :param confirmed: whether a quorum has confirmed, since the start of the
         process, that the applied routes were the newest
     :param stopping: whether the balancer is shutting down
+    :param unusable: newest version of the routes that can't be applied
     """
 
     settings: BalancerSettings
@@ -118,6 +144,7 @@
     report: Report
     confirmed: bool = False
     stopping: bool = False
+    unusable: UnusableRoutes = attrs.field(factory=UnusableRoutes)
     _behind_since: float | None = None
     _routes_announced: asyncio.Event = attrs.field(factory=asyncio.Event)
     _timer: DeadlineTimer = attrs.field(init=False)
@@ -137,6 +164,9 @@
             return Health(False, 'newer routes could not be fetched')
         if not self.balancer.count_agents(loop.time()):
             return Health(False, 'no agent is reporting')
+        if self.unusable_version:
+            reason = f'serving; version {self.unusable_version} is unusable'
+            return Health(True, reason)
         return Health(True, 'serving')
 
     def show_placement(self, request: HttpRequest) -> HttpResponse:
@@ -193,7 +223,7 @@
         failures = 0
         while True:
             source = self.finder.choose_source(
-                self._version, failures, loop.time()
+                self._find_skipped_version(loop.time()), failures, loop.time()
             )
             if source is None:
                 self._behind_since = None
@@ -221,6 +251,12 @@
             async with asyncio.timeout(ANNOUNCEMENT_CHECK_INTERVAL):
                 await self._routes_announced.wait()
 
+    @property
+    def unusable_version(self) -> int:
+        """Newer version of the routes that can't be applied; 0 if none."""
+        version = self.unusable.version
+        return version if version > self._version else 0
+
     @property
     def _version(self) -> int:
         return self.balancer.table.version if self.balancer.table else 0
@@ -245,23 +281,59 @@
                 connect_timeout=FETCH_TIMEOUT,
                 request_timeout=FETCH_TIMEOUT,
             )
-            routes = unpack_routes(response.body)
         except (HTTPError, OSError, ValueError) as error:
             reason = describe_error(error)
             self.report(ROUTES_UNREADABLE, peer=source.routes, reason=reason)
             return False
+        table = load_routes(response.body)
+        if isinstance(table, Failed):
+            self._note_unusable(source, table.failure())
+            return False
+        self._apply(table.unwrap(), source)
+        return self._version >= source.version
+
+    def _apply(self, table: RouteTable, source: Welcome) -> None:
         former = self._version
-        if self.balancer.set_routes(build_table(routes)):
+        if not self.balancer.set_routes(table):
+            return
+        now = asyncio.get_running_loop().time()
+        self._execute(self.balancer.release_held(now))
+        self.report(
+            ROUTES_CHANGED,
+            version=table.version,
+            former=former,
+            routes=len(table.routes),
+            peer=source.routes,
+        )
+
+    def _note_unusable(self, source: Welcome, failure: Failure) -> None:
+        """Keep the applied routes, since newer ones can't be applied.
+
+        Other instances are asked for them, too, before they are given up.
+        """
+        if self.unusable.version != source.version:
+            self.unusable = UnusableRoutes(source.version)
+        known = source.routes in self.unusable.sources
+        self.unusable.sources.add(source.routes)
+        if known or len(self.unusable.sources) >= UNUSABLE_ANSWERS_MAX:
             now = asyncio.get_running_loop().time()
-            self._execute(self.balancer.release_held(now))
+            self.unusable.given_up_at = now
+        if not known:
             self.report(
-                ROUTES_CHANGED,
-                version=routes.version,
-                former=former,
-                routes=len(routes.routes),
+                ROUTES_UNUSABLE,
+                version=source.version,
+                in_force=self._version,
                 peer=source.routes,
+                step=failure.step,
+                reason=f'{failure.peer}: {failure.reason}',
             )
-        return self._version >= source.version
+
+    def _find_skipped_version(self, now: float) -> int:
+        """Return the version up to which no routes are fetched."""
+        given_up_at = self.unusable.given_up_at
+        if given_up_at is None or now - given_up_at >= UNUSABLE_RETRY_INTERVAL:
+            return self._version
+        return max(self._version, self.unusable.version)
 
     def _execute(self, actions: Iterable[Action]) -> None:
         for action in actions:
@@ -320,6 +392,7 @@
     metrics.gauges['egress_queued_bytes'] = lambda: queue.length
     paced = PacedLink(link, queue)
     role = BalancerRole(settings, balancer, finder, entry, link, paced, report)
+    metrics.gauges['routes_unusable_version'] = lambda: role.unusable_version
     started = int(time.time() * 1000)
     own_node = Node(str(node.link), node.zone, started)
     receive = build_receiver(role.handle_message, report)
--- a/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
+++ b/packages/pistachiohook-daemon/src/pistachiohook_daemon/passthrough/control.py
@@ -17,6 +17,7 @@
 from pistachiohook_core.events import ROUTES_REFUSED
 from pistachiohook_core.failures import Failure
 from pistachiohook_core.passthrough.commands import COMMAND_CODEC
+from pistachiohook_core.passthrough.commands import load_routes
 from pistachiohook_core.passthrough.commands import make_command
 from pistachiohook_core.passthrough.commands import read_document
 from pistachiohook_core.passthrough.commands import RouteStateMachine
@@ -31,7 +32,6 @@
 from pistachiohook_core.passthrough.messages import Node
 from pistachiohook_core.passthrough.messages import Welcome
 from pistachiohook_core.passthrough.routes import add_former_services
-from pistachiohook_core.passthrough.routes import check_routes
 from pistachiohook_core.passthrough.routes import INVALID
 from returns.result import Failure as Failed
 from returns.result import Result
@@ -58,6 +58,7 @@
     from pistachiohook_core.addresses import Address
     from pistachiohook_core.metrics import Metrics
     from pistachiohook_core.passthrough.commands import Evacuation
+    from pistachiohook_core.passthrough.commands import ReplaceRoutes
     from pistachiohook_core.passthrough.routes import RouteSet
     from pistachiohook_core.storage.files import FileOperations
 
@@ -149,15 +150,17 @@
             reason is :data:`~.routes.INVALID` or tells that the outcome is
             unknown
         """
-        failures = check_routes(routes)
-        if failures:
-            return Failed(self.refuse_routes(routes.version, failures[0]))
-        if routes.version <= self.route_state.current.version:
-            return Success(self.route_state.current.version)
-        if self.route_state.current.version:
-            former = unpack_routes(self.route_state.current.routes)
-            routes = add_former_services(routes, former)
-        command = COMMAND_CODEC.encode(make_command(routes, document))
+        current = self.route_state.current
+        if routes.version > current.version:
+            routes = _add_current_services(routes, current)
+        replacement = make_command(routes, document)
+        loaded = load_routes(replacement.routes)
+        if isinstance(loaded, Failed):
+            failure = self.refuse_routes(routes.version, loaded.failure())
+            return Failed(failure)
+        if routes.version <= current.version:
+            return Success(current.version)
+        command = COMMAND_CODEC.encode(replacement)
         result = await self.proposer.propose(command, PROPOSE_RETRY_DURATION)
         if isinstance(result, Failed):
             failure = result.failure()
@@ -406,6 +409,20 @@
     return role
 
 
+def _add_current_services(
+    routes: RouteSet, current: ReplaceRoutes
+) -> RouteSet:
+    """Note the services that each route names in the applied set."""
+    if not current.version:
+        return routes
+    try:
+        former = unpack_routes(current.routes)
+    except ValueError:
+        # A set that nobody can read must still be replaceable.
+        return routes
+    return add_former_services(routes, former)
+
+
 def _open_files(data_folder: str) -> FileOperations:
     if not data_folder:
         return create_memory_files()
--- a/tests/core/addresses/steps/address_steps.py
+++ b/tests/core/addresses/steps/address_steps.py
@@ -4,6 +4,7 @@
 
 from behave import then
 from behave import when
+from pistachiohook_core.addresses import Address
 from pistachiohook_core.addresses import pack_address
 from pistachiohook_core.addresses import parse_address
 from pistachiohook_core.addresses import unpack_address
@@ -31,3 +32,16 @@
 @then('the result is {text}')
 def compare_address(context, text):
     assert str(context.address) == text
+
+
+@when('a host {host} with port {port:d} is packed')
+def pack_invalid(context, host, port):
+    try:
+        pack_address(Address(host, port))
+    except ValueError as error:
+        context.error = error
+
+
+@then('a ValueError is raised')
+def check_error(context):
+    assert str(context.error)
--- a/tests/daemon/route_following/route_following.feature
+++ b/tests/daemon/route_following/route_following.feature
@@ -34,3 +34,35 @@
     And one control instance that announces version 1 and sends version 1
     When 1.5 s pass
     Then the first instance was asked at most 1 times
+
+  # Guards against balancers that all end because of one route set that can't
+  # be applied.
+  Scenario Outline: A balancer keeps its routes and serves when it can't apply newer ones: <content>
+    Given a balancer with version 1 of the routes
+    And 4 control instances that announce version 2, with <content>
+    When 3.0 s pass
+    Then the balancer has been ready with version 1 all the time
+    And it has reported event 2109, and asked at most 4 times
+    When one control instance announces and sends version 3
+    Then within 2.0 s the balancer has version 3
+    And it is ready
+
+    Examples:
+      | content                  |
+      | a port above 65535       |
+      | an invalid host          |
+      | weights of 0             |
+      | bytes that are no routes |
+
+  Scenario: A balancer applies routes that only some control instances send intact
+    Given a balancer with version 1 of the routes
+    And 2 control instances that announce version 2, with bytes that are no routes
+    When one control instance announces and sends version 2
+    Then within 2.0 s the balancer has version 2
+
+  Scenario: A balancer fetches a version again after some time
+    Given a balancer with version 1 of the routes
+    And 1 control instances that announce version 2, with bytes that are no routes
+    When 3.0 s pass
+    And the control instances send version 2 intact
+    Then within 6.0 s the balancer has version 2
--- a/tests/daemon/route_following/steps/route_following_steps.py
+++ b/tests/daemon/route_following/steps/route_following_steps.py
@@ -17,7 +17,9 @@
 from pistachiohook_core.passthrough.messages import Node
 from pistachiohook_core.passthrough.messages import TargetState
 from pistachiohook_core.passthrough.messages import Welcome
+from pistachiohook_core.passthrough.routes import Route
 from pistachiohook_core.passthrough.routes import RouteSet
+from pistachiohook_core.passthrough.routes import Share
 from pistachiohook_core.passthrough.segments import SegmentFormat
 from pistachiohook_daemon.passthrough.balancer import start_balancer
 from pistachiohook_daemon.passthrough.settings import BalancerSettings
@@ -38,6 +40,7 @@
 
     :param announced: version that its answers announce
     :param sent: version of the routes that it sends; ``None`` to send nothing
+    :param body: what it sends instead of valid routes; empty for these
     :param asked: number of requests for its routes
     """
 
@@ -45,15 +48,15 @@
     routes: Address
     announced: int
     sent: int | None
+    body: bytes = b''
     asked: int = 0
 
     async def show_routes(self, _):
         self.asked += 1
         if self.sent is None:
             await asyncio.sleep(60)
-        return HttpResponse(
-            body=pack_routes(RouteSet(self.sent, (), ())), content_type=BINARY
-        )
+        body = self.body or pack_routes(RouteSet(self.sent, (), ()))
+        return HttpResponse(body=body, content_type=BINARY)
 
 
 def find_address():
@@ -68,9 +71,13 @@
 def start(context, version):
     context.loop = asyncio.new_event_loop()
     context.standins, context.numbers = [], count(1)
+    context.events = []
+
+    def record(event, **_):
+        context.events.append(event.number)
 
     async def run():
-        supervisor = Supervisor('balancer', ignore)
+        supervisor = Supervisor('balancer', record)
         seed = find_address()
         node = NodeSettings(
             'b', 'z', find_address(), (seed,), find_address(), 0.0
@@ -78,7 +85,7 @@
         settings = BalancerSettings(node, find_address())
         unused = SegmentFormat(*[lambda _: None] * 4)
         context.role = start_balancer(
-            settings, unused, supervisor, Metrics(), ignore
+            settings, unused, supervisor, Metrics(), record
         )
         context.tasks = [
             asyncio.create_task(supervisor.run()),
@@ -177,6 +184,40 @@
     context.first = add(context, version, sent)
 
 
+def pack_route(host, port, weight=1):
+    route = Route('r', Address(host, port), (Share('s', weight),), 1000)
+    return pack_routes(RouteSet(2, ('s',), (route,)))
+
+
+#: Routes that no balancer can apply.
+UNUSABLE = {
+    'a port above 65535': pack_route('127.0.0.1', 99_999),
+    'an invalid host': pack_route('127.0.0', 80),
+    'weights of 0': pack_route('127.0.0.1', 80, weight=0),
+    'bytes that are no routes': b'routes',
+}
+
+
+@given(
+    '{number:d} control instances that announce version {version:d}, with'
+    ' {content}'
+)
+def add_unusable(context, number, version, content):
+    for _ in range(number):
+        add(context, version, version).body = UNUSABLE[content]
+
+
+@when('the control instances send version {version:d} intact')
+def mend(context, version):
+    for one in context.standins:
+        one.sent, one.body = version, b''
+
+
+@when('one control instance announces and sends version {version:d}')
+def add_intact(context, version):
+    add(context, version, version)
+
+
 @when('the first instance sends version {sent:d}')
 def send(context, sent):
     context.first.sent = sent
@@ -200,7 +241,24 @@
 
 @when('{length:f} s pass')
 def idle(context, length):
-    context.loop.run_until_complete(asyncio.sleep(length))
+    context.states = []
+    end = context.loop.time() + length
+    while context.loop.time() < end:
+        context.loop.run_until_complete(asyncio.sleep(ANNOUNCE_INTERVAL))
+        state = find_health(context).good, find_version(context)
+        context.states.append(state)
+
+
+@then('the balancer has been ready with version {version:d} all the time')
+def check_states(context, version):
+    assert set(context.states) == {(True, version)}, context.states
+
+
+@then('it has reported event {number:d}, and asked at most {times:d} times')
+def check_reported(context, number, times):
+    assert number in context.events, context.events
+    asked = sum(one.asked for one in context.standins)
+    assert asked <= times, asked
 
 
 @then('within {seconds:f} s the balancer has version {version:d}')
--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -58,6 +58,8 @@
       | port 0                               | refused  |
       | a port above 65535                   | refused  |
       | a port above 64 bits                 | refused  |
+      | a port above 65535 after zeros       | refused  |
+      | a port with thousands of digits      | refused  |
       | empty lists of regions               | accepted |
       | AllowedRegions                       | refused  |
       | Homes                                | refused  |
@@ -84,10 +86,17 @@
       | no change                  | accepted |
       | an unknown service         | refused  |
       | two routes for one address | refused  |
+      | one port written twice     | refused  |
       | a timeout of 0             | refused  |
       | weights of 0               | refused  |
       | a negative weight          | refused  |
 
+  # Guards against a configuration that is acknowledged and can't be applied by
+  # any balancer.
+  Scenario: Each random configuration that is accepted can be applied
+    When 2000 configurations are drawn with odd addresses, ports, weights and times
+    Then some of them are accepted, and balancers can apply each of these
+
   Scenario: The settings of each role are read
     When the example settings are read for each role
     Then control's seeds, the ports and the bounds have the values of the file
@@ -113,6 +122,7 @@
       | a truncated end        |
       | a bad address          |
       | too few internal ports |
+      | internal ports above 65535 |
       | no listen addresses    |
       | a negative ColdSlack   |
       | a ColdOver of 0        |
--- a/tests/platform/steps/format_steps.py
+++ b/tests/platform/steps/format_steps.py
@@ -12,10 +12,12 @@
 from behave import then
 from behave import when
 from pistachiohook_core.passthrough.cold_starts import ColdBounds
+from pistachiohook_core.passthrough.commands import load_routes
 from pistachiohook_core.passthrough.commands import pack_routes
 from pistachiohook_core.passthrough.commands import unpack_routes
 from pistachiohook_core.passthrough.routes import build_table
 from pistachiohook_core.passthrough.routes import check_routes
+from pistachiohook_core.passthrough.routes import choose_service
 from pistachiohook_core.passthrough.routes import ColdRate
 from pistachiohook_core.passthrough.segments import describe_flow
 from pistachiohook_core.passthrough.segments import make_flow
@@ -248,6 +250,15 @@
         'a port above 64 bits': lambda: second.update(
             PathPrefix=f'/{10**20}/'
         ),
+        'a port above 65535 after zeros': lambda: second.update(
+            PathPrefix='/0000099999/'
+        ),
+        'a port with thousands of digits': lambda: second.update(
+            PathPrefix=f'/{"9" * 5000}/'
+        ),
+        'one port written twice': lambda: second.update(
+            PathPrefix='/0008443/'
+        ),
         'empty lists of regions': lambda: first.update(
             AllowedRegions=[], Homes=[]
         ),
@@ -306,6 +317,56 @@
     context.result = Failed(faults[0]) if faults else Success(routes)
 
 
+#: Values that random configurations draw from, by their fields.
+ODD_PORTS = ('1', '65535', '65536', '00443', '0000099999', '0', '9' * 30, '٣')
+ODD_HOSTS = ('10.0.0.1', '10.0.0.256', '010.0.0.1', '10.0.0', 'a', '', '::1')
+ODD_NUMBERS = (0, 1, -1, 2**31, 2**63 - 1, 2**63, 0.5, '1')
+
+
+def draw_configuration(random):
+    """Return the example configuration with some odd values."""
+    document = copy.deepcopy(CONFIGURATION)
+    for route in document['Routes']:
+        odd = {
+            'PathPrefix': f'/{random.choice(ODD_PORTS)}/',
+            'Hostname': random.choice(ODD_HOSTS),
+            'TimeoutMs': random.choice(ODD_NUMBERS),
+            'TargetLatencyMs': random.choice(ODD_NUMBERS),
+            'Priority': random.choice(ODD_NUMBERS),
+        }
+        field = random.choice([*odd])
+        route[field] = odd[field]
+        for backend in route.get('WeightedBackends', ()):
+            if random.random() < 0.3:
+                backend['Weight'] = random.choice(ODD_NUMBERS)
+    return json.dumps(document).encode()
+
+
+@when(
+    '{number:d} configurations are drawn with odd addresses, ports, weights'
+    ' and times'
+)
+def draw_configurations(context, number):
+    random = Random(1)
+    read = [
+        read_configuration(draw_configuration(random)) for _ in range(number)
+    ]
+    context.accepted = [
+        result.unwrap()
+        for result in read
+        if isinstance(result, Success) and not check_routes(result.unwrap())
+    ]
+
+
+@then('some of them are accepted, and balancers can apply each of these')
+def apply_accepted(context):
+    assert context.accepted
+    for routes in context.accepted:
+        table = load_routes(pack_routes(routes)).unwrap()
+        for entry, route in table.routes.items():
+            choose_service(route, bytes(6) + entry)
+
+
 def read_from_file(body, role):
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / 'node.json'
@@ -356,6 +417,8 @@
         settings['Seeds'] = ['control:8166']
     if case == 'too few internal ports':
         settings['InternalPorts'] = [7720, 7721]
+    if case == 'internal ports above 65535':
+        settings['InternalPorts'] = [65534, 65560]
     if case == 'a negative ColdSlack':
         settings['Bounds']['ColdSlack'] = -1
     if case == 'a ColdOver of 0':
