--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/bootstrap.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/bootstrap.py
@@ -14,7 +14,7 @@
     from .replica import Replica
 
 
-def is_candidate(replica: Replica, instance: str) -> bool:
+def asks_nomination(replica: Replica, instance: str) -> bool:
     """Tell whether to ask an instance for its nomination.
 
     The instances in the settings nominate. They are asked in the order of
@@ -83,7 +83,7 @@
 def nominate_self(replica: Replica) -> None:
     """Let this replica nominate itself, or withdraw that, in its turn."""
     own = parse_instance_name(replica.identity)
-    if not is_candidate(replica, own):
+    if not asks_nomination(replica, own):
         replica.nominators.discard(own)
         if replica.nominee == replica.identity:
             replica.nominee = ''
--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/membership_changes.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/membership_changes.py
@@ -6,8 +6,8 @@
 
 import attrs
 
+from .bootstrap import asks_nomination
 from .bootstrap import bootstrap
-from .bootstrap import is_candidate
 from .bootstrap import may_bootstrap
 from .bootstrap import nominate
 from .bootstrap import nominate_self
@@ -60,7 +60,7 @@
             replica.hard_state.term,
             replica.is_durable,
             replica.join_number,
-            is_candidate(replica, instance),
+            asks_nomination(replica, instance),
         )
         replica.outbox.append(Send(instance, message))
 
@@ -89,7 +89,7 @@
         replica.hard_state.term,
         blank=not replica.cluster,
         retired=retired,
-        instances=_list_founders_and_members(replica),
+        instances=_list_nominee_and_members(replica),
         number=message.number,
         nominee=replica.nominee,
     )
@@ -247,7 +247,7 @@
     return member and (has_leader or replica.role is Role.LEADER)
 
 
-def _list_founders_and_members(replica: Replica) -> tuple[str, ...]:
+def _list_nominee_and_members(replica: Replica) -> tuple[str, ...]:
     """Return the names of the nominee's instance and of all members."""
     identities = (replica.nominee, *replica.membership.members)
     return tuple(
@@ -257,7 +257,7 @@
 
 def _other_instances(replica: Replica) -> tuple[str, ...]:
     own = parse_instance_name(replica.identity)
-    members = _list_founders_and_members(replica)
+    members = _list_nominee_and_members(replica)
     names = dict.fromkeys((*replica.instances, *members))
     discovered = sorted(replica.discovered_instances.difference(names))
     return tuple(name for name in (*names, *discovered) if name != own)
