Move the membership explorer to the tools, and let it play first starts

make explore-membership SEEDS=... plays first starts and schedules by seed and prints how to replay a failure; make test plays 400 and 100 of them. Scenarios of first starts with random orders and faults are first starts of the explorer now, which also draws the instances without a disk.

--- a/Makefile
+++ b/Makefile
@@ -80,8 +80,9 @@
 
 explore-membership: setup
 	MEMBERSHIP_EXAMPLES=$(or $(RUNS),1000) \
-	    $(BIN)/python tools/scenarios.py tests/core/membership \
-	    tests/core/consensus
+	    $(BIN)/python tools/scenarios.py tests/core/membership
+	$(BIN)/python tools/explore_membership.py \
+	    --seeds $(or $(SEEDS),0-999)
 
 soak: export PYTHONPATH := $(PYTHONPATH):tests/platform:tests/soak
 soak: setup
--- a/tests/core/consensus/steps/membership_steps.py
+++ b/tests/core/consensus/steps/membership_steps.py
@@ -4,33 +4,27 @@
 
 import os
 
-from behave import given
 from behave import then
-from membership_schedule import play_schedule
+from explore_membership import play_first_start
+from explore_membership import play_schedule
 
-#: Number of schedules that are played.
+#: Number of schedules that are played; first starts are four times as many.
 EXAMPLES = int(os.environ.get('MEMBERSHIP_EXAMPLES', '100'))
 
 
-@given(
-    'random schedules of additions, removals with and without notice, planned'
-    ' stops, and no more losses at the same time than are tolerated'
+@then(
+    'first starts with instances without a disk, kills, and messages that are'
+    ' lost and reordered each form one cluster'
 )
-def draw_schedules(context):
-    context.seeds = range(EXAMPLES)
-
-
-@then('in each, a leader accepts changes whenever no instance is lost')
-def play_schedules(context):
-    # The schedule checks this and the further step while it is played.
-    for seed in context.seeds:
-        play_schedule(seed)
-    context.played = True
+def play_first_starts(context):
+    for seed in range(4 * EXAMPLES):
+        play_first_start(seed)
 
 
 @then(
-    'at the end exactly the instances with a disk vote, and every instance'
-    ' holds all accepted changes'
+    'in each random schedule with no more losses than are tolerated, changes'
+    ' are accepted and exactly the instances with a disk vote'
 )
-def check_played(context):
-    assert context.played
+def play_schedules(context):
+    for seed in range(EXAMPLES):
+        play_schedule(seed)
--- a/tests/core/consensus/membership_schedule.py
+++ b/tools/explore_membership.py
@@ -1,15 +1,41 @@
-"""Random schedules of the losses, removals and additions that are allowed."""
+"""Run random schedules of losses and replacements of control instances.
+
+Each schedule plays on a virtual network, virtual disks and a virtual clock. It
+does only what the rule in docs/design/control.md allows, and checks that the
+instances keep it.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+import importlib
+from pathlib import Path
 from random import Random
 from string import ascii_lowercase
+import sys
+import time
+from typing import Any
 
 import attrs
+import cyclopts
 from pistachiohook_core.consensus.entries import compute_quorum
 from pistachiohook_core.consensus.entries import parse_instance_name
-from virtual_cluster import Cluster
-from virtual_cluster import STEP
+
+#: Folders of the virtual cluster and of its disks.
+TEST_FOLDERS = (Path('tests/core/consensus'), Path('tests/core/storage'))
+
+#: Time within which all instances of a deployment start, in seconds.
+START_SPREAD = 0.3
+
+#: Time for which processes and network are disturbed at a first start, in
+#: seconds.
+START_FAULTS = 3.0
+
+#: Most processes that are killed during a first start.
+START_KILLS_MAX = 2
+
+#: Most instances without a disk at a first start.
+DISKLESS_MAX = 4
 
 #: Time after which an instance that is back, or new, is no longer lost, in
 #: seconds.
@@ -25,6 +51,12 @@
 #: seconds.
 ACCEPTANCE = 8.0
 
+#: Time within which the first change is accepted, in seconds.
+FIRST_ACCEPTANCE = 12.0
+
+#: Interval at which losses end, in seconds.
+STEP = 0.05
+
 #: Most instances with a disk at the same time.
 DISKS_MAX = 8
 
@@ -34,7 +66,6 @@
     """A cluster, and what its instances count for by the documented rule.
 
     :param random: source of all random choices
-    :param tolerance: instances that may be lost at the same time
     :param cluster: the cluster
     :param disks: instances with a disk that are in service, and when each of
         them counts
@@ -46,8 +77,7 @@
     """
 
     random: Random
-    tolerance: int
-    cluster: Cluster
+    cluster: Any
     disks: dict[str, float] = attrs.field(factory=dict)
     diskless: list[str] = attrs.field(factory=list)
     successors: list[str] = attrs.field(factory=list)
@@ -134,11 +164,11 @@
             not self.list_lost()
             and bool(self.cluster.find_leader())
             and self.cluster.voters() == identities
-            and len(identities) > 2 * self.tolerance + 1
+            and len(identities) > 2 * self.cluster.tolerance + 1
         )
 
     def may_lose(self) -> bool:
-        return len(self.list_lost()) < self.tolerance
+        return len(self.list_lost()) < int(self.cluster.tolerance)
 
     # Actions
 
@@ -155,7 +185,7 @@
 
     def find_spare(self) -> str:
         return next(
-            name
+            str(name)
             for name in self.cluster.names
             if not self.cluster.instances[name].identity_count
         )
@@ -247,7 +277,7 @@
 
     def stop_in_turn(self) -> None:
         """Stop and start all instances, one after the other, as planned."""
-        if self.list_lost() or not self.tolerance:
+        if self.list_lost() or not self.cluster.tolerance:
             return
         self.note('stop all in turn')
         for name in self.list_calm():
@@ -278,7 +308,7 @@
 
     def play(self, steps: int) -> None:
         """Do something allowed, several times, and check in between."""
-        actions = [
+        actions: list[Callable[[], None]] = [
             self.add,
             self.replace_several,
             self.replace_several,
@@ -307,17 +337,7 @@
 
     def check_acceptance(self) -> None:
         self.note('check')
-        end = self.cluster.now + ACCEPTANCE
-        while self.cluster.now < end:
-            leader = self.cluster.find_leader()
-            if leader:
-                number = self.cluster.propose(leader)
-                self.run(0.5)
-                if number in self.cluster.accepted:
-                    return
-            else:
-                self.run(0.2)
-        raise AssertionError(f'no change is accepted: {self.steps}')
+        accept_change(self.cluster, ACCEPTANCE, f'after {self.steps}')
 
     def check_end(self) -> None:
         """Check who votes, and that nothing accepted is missing anywhere."""
@@ -351,23 +371,171 @@
     return len(surviving) >= needed
 
 
-def play_schedule(seed: int, steps: int = 10) -> Schedule:
-    """Play the schedule of a seed, and check it.
+def create_cluster(random: Random, seed: int) -> tuple[Any, int]:
+    """Return a cluster that has not started, and the number of instances.
 
-    :raises AssertionError: when a change is lost or none is accepted
+    Some of them have no disk, also of those that the settings name.
     """
-    random = Random(seed)
+    sys.path[:0] = [
+        str(folder) for folder in TEST_FOLDERS if str(folder) not in sys.path
+    ]
+    virtual_cluster = importlib.import_module('virtual_cluster')
     tolerance = random.choice((1, 1, 2))
-    size = random.randint(2 * tolerance + 1, 2 * tolerance + 3)
-    cluster = Cluster(
-        tuple(ascii_lowercase), seed, seeds=tuple('abc'), tolerance=tolerance
+    disks = random.randint(2 * tolerance + 1, 2 * tolerance + 3)
+    size = disks + random.choice((0, 0, *range(1, DISKLESS_MAX + 1)))
+    names = ascii_lowercase[:size]
+    cluster = virtual_cluster.Cluster(
+        tuple(ascii_lowercase),
+        seed,
+        seeds=tuple(names[:3]),
+        tolerance=tolerance,
+        diskless=''.join(random.sample(names, size - disks)),
+    )
+    return cluster, size
+
+
+def play_first_start(seed: int) -> None:
+    """Start all instances while some are killed, and messages are disturbed.
+
+    :raises AssertionError: when they do not form exactly one cluster, or it
+        accepts no change
+    """
+    random = Random(seed)
+    cluster, size = create_cluster(random, seed)
+    names = ascii_lowercase[:size]
+    starts = draw_starts(cluster, names, random)
+    kills = sorted(
+        cluster.now + random.uniform(0, START_FAULTS)
+        for _ in range(random.randint(0, START_KILLS_MAX))
     )
-    schedule = Schedule(random, tolerance, cluster)
-    for name in ascii_lowercase[:size]:
+    end = cluster.now + START_FAULTS * random.randint(0, 1)
+    while cluster.now < end or starts:
+        start_due(cluster, starts)
+        cluster.tick()
+        deliver_some(cluster, random)
+        if kills and kills[0] <= cluster.now:
+            del kills[0]
+            name = random.choice(names)
+            kill(cluster, name)
+            starts[name] = cluster.now + random.uniform(0.3, 1.0)
+    check_first_start(cluster, names)
+
+
+def draw_starts(cluster: Any, names: str, random: Random) -> dict[str, float]:
+    """Return the time of the first start of each instance."""
+    return {
+        name: cluster.now + random.uniform(0, START_SPREAD) for name in names
+    }
+
+
+def start_due(cluster: Any, starts: dict[str, float]) -> None:
+    """Start the instances whose time has come, and forget their times."""
+    due = [name for name, at in starts.items() if at <= cluster.now]
+    for name in due:
+        del starts[name]
         cluster.start(name)
-        schedule.disks[name] = cluster.now
-    schedule.check_acceptance()
+
+
+def kill(cluster: Any, name: str) -> None:
+    """Kill a process; an instance without a disk has a new identity then."""
+    if name in cluster.diskless:
+        cluster.lose_disk(name)
+    else:
+        cluster.kill(name)
+
+
+def deliver_some(cluster: Any, random: Random) -> None:
+    """Deliver most messages in any order; lose a few."""
+    for _ in range(len(cluster.in_flight) * 2):
+        if not cluster.in_flight:
+            return
+        place = random.randrange(len(cluster.in_flight))
+        if random.random() < 0.05:
+            del cluster.in_flight[place]
+        elif random.random() < 0.6:
+            cluster.deliver(place)
+
+
+def check_first_start(cluster: Any, names: str) -> None:
+    """Check that all instances run and belong to one working cluster."""
+    accept_change(cluster, FIRST_ACCEPTANCE, 'after the first start')
     cluster.run(2.0)
+    cluster.check()
+    processes = [cluster.instances[name].process for name in names]
+    assert all(processes), 'an instance has ended'
+    found = {process.replica.cluster for process in processes}
+    assert len(found) == 1, f'several clusters: {found}'
+
+
+def accept_change(cluster: Any, seconds: float, when: str) -> None:
+    """Propose changes until one is accepted.
+
+    :raises AssertionError: when none is accepted in time
+    """
+    end = cluster.now + seconds
+    while cluster.now < end:
+        leader = cluster.find_leader()
+        if leader:
+            number = cluster.propose(leader)
+            cluster.run(0.5)
+            if number in cluster.accepted:
+                return
+        else:
+            cluster.run(0.2)
+    raise AssertionError(f'no change is accepted {when}')
+
+
+def play_schedule(seed: int, steps: int = 10) -> None:
+    """Play the schedule of a seed, and check it.
+
+    :param seed: seed of all random choices
+    :param steps: number of times that something is done
+    :raises AssertionError: when a change is lost or none is accepted
+    """
+    random = Random(seed)
+    cluster, size = create_cluster(random, seed)
+    names = ascii_lowercase[:size]
+    starts = draw_starts(cluster, names, random)
+    while starts:
+        start_due(cluster, starts)
+        cluster.run(STEP)
+    schedule = Schedule(random, cluster)
+    schedule.disks = {
+        name: cluster.now for name in names if name not in cluster.diskless
+    }
+    schedule.diskless = list(cluster.diskless)
+    check_first_start(cluster, names)
     cluster.may_bootstrap = False
     schedule.play(steps)
-    return schedule
+
+
+def parse_seeds(seeds: str) -> range:
+    """Return the seeds of ``7`` or ``0-499``."""
+    first, _, last = seeds.partition('-')
+    return range(int(first), int(last or first) + 1)
+
+
+def explore(seeds: str = '0-999') -> int:
+    """Play a first start and a schedule for each seed.
+
+    :param seeds: first and last seed
+    :returns: 1 when a check has failed, else 0
+    """
+    begin = time.monotonic()
+    failed = 0
+    for seed in parse_seeds(seeds):
+        for play in (play_first_start, play_schedule):
+            try:
+                play(seed)
+            except AssertionError as error:
+                failed += 1
+                print(f'seed {seed}, {play.__name__}: {error}', flush=True)
+                print(f'replay: make explore-membership SEEDS={seed}-{seed}')
+    elapsed = time.monotonic() - begin
+    number = 2 * len(parse_seeds(seeds))
+    print(f'{number - failed} of {number} passed in {elapsed:.1f} s')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(cyclopts.run(explore))
