Forget the request to leave of a voter that has restarted

A voter that was stopped as planned and back within a second was promoted and then removed again, since its request to leave still counted: 12 changes of the voters instead of 8 for four restarts that take 0.1 s. A join request now clears it, since a replica that leaves sends none.

--- a/packages/pistachiohook-core/src/pistachiohook_core/consensus/membership_changes.py
+++ b/packages/pistachiohook-core/src/pistachiohook_core/consensus/membership_changes.py
@@ -82,6 +82,8 @@
         own = instance == parse_instance_name(replica.identity)
         if allowed and not own:
             replica.join_requests[message.sender] = message.durable
+        # A voter that asked to leave has restarted.
+        replica.departures.pop(message.sender, None)
     response = JoinResponse(
         replica.cluster,
         replica.identity,
