--- a/tools/explore_membership.py
+++ b/tools/explore_membership.py
@@ -11,7 +11,7 @@
 import importlib
 from pathlib import Path
 from random import Random
-from string import ascii_lowercase
+from string import ascii_letters
 import sys
 import time
 from typing import Any
@@ -44,8 +44,8 @@
 #: Time after which all instances vote that should, and no others, in seconds.
 SETTLING = 8.0
 
-#: Age of the instances in the settings of a process, in seconds.
-SEED_LAG = 3.0
+#: Names of all instances that there may be in one schedule.
+NAMES = ascii_letters[:40]
 
 #: Time within which a change is accepted while no instance is lost, in
 #: seconds.
@@ -86,6 +86,7 @@
     steps: list[str] = attrs.field(factory=list)
 
     def note(self, text: str) -> None:
+        """Record what is done, for the message of a failure."""
         self.steps.append(f'{self.cluster.now - 100:.2f} {text}')
 
     def run(self, seconds: float) -> None:
@@ -103,9 +104,8 @@
                 if leader:
                     self.cluster.propose(leader)
 
-    # What counts
-
     def list_lost(self) -> list[str]:
+        """Return the instances that count as lost."""
         return [
             name
             for name, until in self.lost_until.items()
@@ -170,10 +170,8 @@
     def may_lose(self) -> bool:
         return len(self.list_lost()) < int(self.cluster.tolerance)
 
-    # Actions
-
     def start(self, name: str) -> None:
-        """Start a process with the settings of some seconds ago."""
+        """Start a process; its settings name three of the others that run."""
         running = [
             other
             for other, instance in self.cluster.instances.items()
@@ -184,6 +182,7 @@
         self.cluster.start(name)
 
     def find_spare(self) -> str:
+        """Return the name of an instance that has never run."""
         return next(
             str(name)
             for name in self.cluster.names
@@ -333,8 +332,6 @@
         self.check_acceptance()
         self.check_end()
 
-    # Checks
-
     def check_acceptance(self) -> None:
         self.note('check')
         accept_change(self.cluster, ACCEPTANCE, f'after {self.steps}')
@@ -383,9 +380,9 @@
     tolerance = random.choice((1, 1, 2))
     disks = random.randint(2 * tolerance + 1, 2 * tolerance + 3)
     size = disks + random.choice((0, 0, *range(1, DISKLESS_MAX + 1)))
-    names = ascii_lowercase[:size]
+    names = NAMES[:size]
     cluster = virtual_cluster.Cluster(
-        tuple(ascii_lowercase),
+        tuple(NAMES),
         seed,
         seeds=tuple(names[:3]),
         tolerance=tolerance,
@@ -402,7 +399,7 @@
     """
     random = Random(seed)
     cluster, size = create_cluster(random, seed)
-    names = ascii_lowercase[:size]
+    names = NAMES[:size]
     starts = draw_starts(cluster, names, random)
     kills = sorted(
         cluster.now + random.uniform(0, START_FAULTS)
@@ -494,7 +491,7 @@
     """
     random = Random(seed)
     cluster, size = create_cluster(random, seed)
-    names = ascii_lowercase[:size]
+    names = NAMES[:size]
     starts = draw_starts(cluster, names, random)
     while starts:
         start_due(cluster, starts)
